--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -28,7 +28,7 @@
   endif()
   set(library kumquatcove_${name})
 
-  if(tests)
+  if(tests AND KUMQUATCOVE_TESTS)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/src/base/test_main.cpp)
     target_link_libraries(${name}_test PRIVATE ${library} rapidcheck)
     add_test(NAME ${name} COMMAND ${name}_test)
--- a/src/runtime/kumquatcoved_main.cc
+++ b/src/daemon/kumquatcoved_main.cc
@@ -10,7 +10,10 @@
 #include <glog/logging.h>
 
 #include "base/hash.h"
+#include "dispatch/dispatch_reducer.h"
 #include "node/node_reducer.h"
+#include "platform/user_platform_dialect.h"
+#include "platform/user_registry_codec.h"
 #include "runtime/daemon.h"
 #include "runtime/log_line.h"
 #include "runtime/settings.h"
@@ -35,15 +38,27 @@
   return node;
 }
 
-int RunDaemon(const kumquatcove::Settings& settings) {
-  const std::int64_t incarnation =
-      kumquatcove::ReadSystemClock().wall.microseconds;
-  kumquatcove::NodeReducer reducer(ToNodeSettings(settings, incarnation));
-  kumquatcove::Daemon daemon(settings, incarnation,
-                             [&reducer](const kumquatcove::Event& event,
-                                        kumquatcove::ClockReading now) {
-                               return reducer.Reduce(event, now);
-                             });
+void ReloadSettings(const std::string& file, kumquatcove::EventSink& events) {
+  try {
+    const kumquatcove::Settings settings = kumquatcove::ReadSettingsFile(file);
+    if (settings.registered) {
+      events.Post(kumquatcove::SettingsReloaded{settings.registered->limits});
+    }
+  } catch (const kumquatcove::SettingsError& error) {
+    kumquatcove::LogError(
+        kumquatcove::LogLine("reload_failed").Add("problem", error.what()));
+  }
+}
+
+int RunWith(const kumquatcove::Settings& settings,
+            std::int64_t incarnation,
+            const std::string& file,
+            kumquatcove::ReduceFunction reduce,
+            const kumquatcove::PlatformDialect& dialect) {
+  kumquatcove::Daemon daemon(settings, incarnation, std::move(reduce), dialect);
+  daemon.SetReload([&file](kumquatcove::EventSink& events) {
+    ReloadSettings(file, events);
+  });
   kumquatcove::LogInfo(kumquatcove::LogLine("started")
                            .Add("instance", settings.instance.Text())
                            .Add("callers", settings.caller_address)
@@ -54,6 +69,32 @@
   return status;
 }
 
+int RunDaemon(const kumquatcove::Settings& settings, const std::string& file) {
+  const std::int64_t incarnation =
+      kumquatcove::ReadSystemClock().wall.microseconds;
+  const kumquatcove::NodeSettings node = ToNodeSettings(settings, incarnation);
+  if (!settings.registered) {
+    kumquatcove::NodeReducer reducer(node);
+    return RunWith(
+        settings, incarnation, file,
+        [&reducer](const kumquatcove::Event& event,
+                   kumquatcove::ClockReading now) {
+          return reducer.Reduce(event, now);
+        },
+        kumquatcove::MakeNativeDialect());
+  }
+  const kumquatcove::UserRegistryCodec codec;
+  kumquatcove::DispatchReducer reducer(
+      {node.identity, settings.registered->limits, node.seed}, codec);
+  return RunWith(
+      settings, incarnation, file,
+      [&reducer](const kumquatcove::Event& event,
+                 kumquatcove::ClockReading now) {
+        return reducer.Reduce(event, now);
+      },
+      kumquatcove::MakeUserPlatformDialect());
+}
+
 void ParseFlags(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "entry instance of the kumquatcove traffic steering system\n"
@@ -84,7 +125,7 @@
     const kumquatcove::LogLevel level =
         settings.log_level.value_or(kumquatcove::LogLevel::kInfo);
     FLAGS_minloglevel = static_cast<int>(level);
-    return RunDaemon(settings);
+    return RunDaemon(settings, file);
   } catch (const kumquatcove::SettingsError& error) {
     std::cerr << "kumquatcoved: " << error.what() << '\n';
     return kUsageStatus;
--- /dev/null
+++ b/src/dispatch/dispatch_reducer.cc
@@ -0,0 +1,300 @@
+#include "dispatch/dispatch_reducer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+#include <boost/json/serialize.hpp>
+
+#include "base/json_codec.h"
+
+namespace kumquatcove {
+namespace {
+
+// Events come at least once a tick, so that a longer gap means that the process
+// or its machine stood still.
+constexpr Duration kPauseLimit = Seconds(1);
+
+// Callers ask again after this time. Some keep an answer three times as long,
+// which must pass between the end of readiness and the exit.
+constexpr Duration kLookupTimeToLive = Milliseconds(1000);
+constexpr int kLookupKeepFactor = 3;
+// Heartbeats and look-ups that are under way when this instance starts to leave.
+constexpr Duration kLeavingMargin = Milliseconds(700);
+// Time before SIGKILL at which the process ends whatever is in flight.
+constexpr Duration kKillMargin = Milliseconds(300);
+
+constexpr Duration kPublishTimeout = Seconds(2);
+
+// Memory bounds what an instance may buffer; the platform's limit on bodies may
+// be higher.
+constexpr std::int64_t kMaxBufferedBody = 16'777'216;
+
+Duration FromSeconds(double seconds) {
+  return Duration(std::llround(seconds * 1'000'000));
+}
+
+}  // namespace
+
+struct DispatchReducer::EventVisitor {
+  DispatchReducer& reducer;
+
+  void operator()(const Started&) const { reducer.HandleStarted(); }
+  void operator()(const Tick&) const { reducer.HandleTick(); }
+  void operator()(const RequestArrived& event) const {
+    reducer.m_dispatcher.OnRequestArrived(reducer.m_context, event);
+  }
+  void operator()(const CallerGone& event) const {
+    reducer.m_dispatcher.OnCallerGone(reducer.m_context, event.request);
+  }
+  void operator()(const LookupArrived& event) const {
+    reducer.HandleLookup(event);
+  }
+  void operator()(const OperatorCommandArrived& event) const {
+    reducer.HandleOperatorCommand(event);
+  }
+  void operator()(const PeerMessageArrived& event) const {
+    if (const auto* gossip = std::get_if<Gossip>(&event.message)) {
+      reducer.m_presence.OnHeartbeat(reducer.m_context, *gossip);
+    }
+  }
+  void operator()(const StoreReplyArrived& event) const {
+    reducer.HandleStoreReply(event);
+  }
+  void operator()(const InstanceListArrived&) const {}
+  void operator()(const ConnectionOpened& event) const {
+    reducer.m_dispatcher.OnConnectionOpened(reducer.m_context,
+                                            event.connection);
+  }
+  void operator()(const ConnectionLost& event) const {
+    reducer.m_dispatcher.OnConnectionLost(reducer.m_context, event);
+  }
+  void operator()(const UpstreamAnswered& event) const {
+    reducer.m_dispatcher.OnUpstreamAnswered(reducer.m_context, event);
+  }
+  void operator()(const ProbeCompleted&) const {}
+  void operator()(const StopRequested&) const { reducer.HandleStopRequested(); }
+  void operator()(const SettingsReloaded& event) const {
+    reducer.HandleSettings(event.dispatch);
+  }
+};
+
+struct DispatchReducer::ChangeVisitor {
+  DispatchReducer& reducer;
+
+  void operator()(const RoutesChanged& change) const {
+    reducer.m_dispatcher.SetRoutes(change.routes);
+    reducer.ApplyCallerLimits();
+  }
+  void operator()(const UpstreamRegistered& change) const {
+    reducer.m_dispatcher.OnUpstreamRegistered(reducer.m_context,
+                                              change.registration);
+  }
+  void operator()(const UpstreamGone& change) const {
+    reducer.m_dispatcher.OnUpstreamGone(reducer.m_context, change.id);
+  }
+  void operator()(const EvacuationChanged& change) const {
+    reducer.m_dispatcher.OnEvacuationChanged(change.zone, change.evacuated);
+  }
+  void operator()(const EntryRegistered& change) const {
+    reducer.m_presence.OnRegistered(reducer.m_context, change.registration);
+  }
+  void operator()(const EntryGone& change) const {
+    reducer.m_presence.OnGone(change.instance);
+  }
+  void operator()(const SuspicionReported& change) const {
+    reducer.m_dispatcher.OnSuspicionReported(
+        reducer.m_context, change.reporter_key, change.record);
+  }
+};
+
+DispatchReducer::DispatchReducer(DispatchNodeSettings settings,
+                                 const RegistryCodec& codec)
+    : m_context(settings.identity, settings.seed),
+      m_settings(settings.dispatch),
+      m_codec(codec),
+      m_registry(codec),
+      m_presence(codec.KeyPrefix(RegistryTable::kEntries)),
+      m_dispatcher(settings.identity, settings.dispatch) {}
+
+std::vector<Effect> DispatchReducer::Reduce(const Event& event,
+                                            ClockReading now) {
+  m_context.SetNow(now);
+  if (!std::holds_alternative<Started>(event)) {
+    DetectPause();
+  }
+  m_last_event = m_context.Now();
+  std::visit(EventVisitor{*this}, event);
+  ApplyChanges();
+  PublishSuspicions();
+  return m_context.TakeEffects();
+}
+
+void DispatchReducer::HandleStarted() {
+  m_context.Record("instance_started", m_context.Self().instance.Text(),
+                   {{"zone", m_context.Self().zone.Text()},
+                    {"region", m_context.Self().region.Text()}});
+  m_context.Emit(SetReadiness{false});
+  m_registry.Restart(m_context);
+}
+
+void DispatchReducer::HandleTick() {
+  m_registry.OnTick(m_context);
+  m_presence.OnTick(m_context);
+  ApplyChanges();
+  m_dispatcher.SetInstanceCounts(
+      {m_presence.CountRegistered(m_context.Self().region),
+       m_presence.CountRegistered()});
+  UpdatePhase();
+  m_dispatcher.OnTick(m_context);
+  ExitWhenDone();
+}
+
+void DispatchReducer::DetectPause() {
+  if (m_context.Now() - m_last_event < kPauseLimit) {
+    return;
+  }
+  m_context.Record(
+      "pause_detected", m_context.Self().instance.Text(),
+      {{"duration_us",
+        std::to_string((m_context.Now() - m_last_event).count())}});
+  // Requests whose time has passed must not be sent by events that waited.
+  m_dispatcher.OnTick(m_context);
+  m_registry.Restart(m_context);
+}
+
+void DispatchReducer::HandleStoreReply(const StoreReplyArrived& event) {
+  StoreClientModule module{};
+  if (!m_context.TakeStoreCall(event.id, module)) {
+    return;
+  }
+  switch (module) {
+    case StoreClientModule::kRegistry:
+      m_registry.OnReply(m_context, event.id, event.reply);
+      ApplyChanges();
+      UpdatePhase();
+      return;
+    case StoreClientModule::kPresence:
+      m_presence.OnReply(m_context, event.id, event.reply);
+      return;
+    case StoreClientModule::kSuspicions:
+      if (event.reply.status != StoreStatus::kOk) {
+        m_context.Record("suspicion_unpublished",
+                         m_context.Self().instance.Text(),
+                         {{"status",
+                           std::string(ToString(event.reply.status))}});
+      }
+      return;
+    case StoreClientModule::kConfiguration:
+    case StoreClientModule::kClaims:
+    case StoreClientModule::kLimits:
+      return;
+  }
+}
+
+void DispatchReducer::ApplyChanges() {
+  for (const RegistryChange& change : m_registry.TakeChanges()) {
+    std::visit(ChangeVisitor{*this}, change);
+  }
+}
+
+void DispatchReducer::UpdatePhase() {
+  const bool ready = m_registry.IsReady() && !m_stop_requested;
+  if (ready == m_ready) {
+    return;
+  }
+  m_ready = ready;
+  if (ready) {
+    m_dispatcher.SetReady(true);
+    m_presence.SetPhase(m_context, InstancePhase::kServing);
+  }
+  m_context.Emit(SetReadiness{ready});
+}
+
+void DispatchReducer::ApplyCallerLimits() {
+  const CallerLimits& limits = m_registry.Routes()->Configuration().limits;
+  m_context.Emit(SetCallerLimits{
+      limits.max_header_bytes,
+      std::min(limits.max_body_bytes, kMaxBufferedBody), limits.idle_timeout,
+      m_stop_requested.has_value()});
+}
+
+void DispatchReducer::HandleLookup(const LookupArrived& event) {
+  const Duration time_to_live = std::min(
+      kLookupTimeToLive, FromSeconds(m_settings.max_lookup_ttl_s));
+  m_context.Emit(AnswerLookup{
+      event.request, m_presence.Answer(m_context, event.zone, time_to_live)});
+}
+
+void DispatchReducer::HandleOperatorCommand(
+    const OperatorCommandArrived& event) {
+  // The operator of such a deployment writes to the platform's store.
+  OperatorAnswer answer;
+  answer.result = OperatorResult::kUnavailable;
+  answer.message = "this deployment is configured through the platform's store";
+  m_context.Emit(AnswerOperator{event.request, std::move(answer)});
+}
+
+void DispatchReducer::HandleSettings(const DispatchSettings& settings) {
+  m_settings = settings;
+  m_dispatcher.SetSettings(settings);
+  m_context.Record("settings_reloaded", m_context.Self().instance.Text());
+}
+
+void DispatchReducer::HandleStopRequested() {
+  if (m_stop_requested) {
+    return;
+  }
+  m_stop_requested = m_context.Now();
+  m_context.Record("stop_requested", m_context.Self().instance.Text(),
+                   {{"pending", std::to_string(m_dispatcher.PendingCount())}});
+  m_presence.SetPhase(m_context, InstancePhase::kLeaving);
+  UpdatePhase();
+  ApplyCallerLimits();
+  RemoveRegistration();
+}
+
+void DispatchReducer::RemoveRegistration() {
+  StoreTransaction transaction;
+  transaction.mutations.push_back(
+      {m_codec.KeyPrefix(RegistryTable::kEntries) +
+           m_context.Self().instance.Text(),
+       std::nullopt});
+  m_context.CallStoreFor(StoreClientModule::kPresence,
+                         StoreWrite{{std::move(transaction)}}, kPublishTimeout);
+}
+
+void DispatchReducer::PublishSuspicions() {
+  for (const SuspicionRecord& record : m_dispatcher.TakeSuspicions()) {
+    StoreTransaction transaction;
+    transaction.mutations.push_back(
+        {m_codec.KeyPrefix(RegistryTable::kSuspicions) +
+             std::to_string(record.content_hash) + "-" +
+             m_context.Self().instance.Text(),
+         boost::json::serialize(ToJson(record))});
+    m_context.CallStoreFor(StoreClientModule::kSuspicions,
+                           StoreWrite{{std::move(transaction)}},
+                           kPublishTimeout);
+  }
+}
+
+void DispatchReducer::ExitWhenDone() {
+  if (!m_stop_requested || m_exited) {
+    return;
+  }
+  const Duration stopping = m_context.Now() - *m_stop_requested;
+  const Duration grace = FromSeconds(m_settings.grace_s);
+  const Duration quiet = std::min(
+      kLookupTimeToLive * kLookupKeepFactor + kLeavingMargin, grace / 2);
+  const bool done = m_dispatcher.PendingCount() == 0 && stopping >= quiet;
+  if (done || stopping >= grace - kKillMargin) {
+    m_exited = true;
+    m_context.Record("instance_stopped", m_context.Self().instance.Text(),
+                     {{"pending",
+                       std::to_string(m_dispatcher.PendingCount())}});
+    m_context.Emit(Exit{});
+  }
+}
+
+}  // namespace kumquatcove
--- /dev/null
+++ b/src/dispatch/dispatch_reducer.h
@@ -0,0 +1,82 @@
+#ifndef DISPATCH_DISPATCH_REDUCER_H_
+#define DISPATCH_DISPATCH_REDUCER_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/clock_reading.h"
+#include "dispatch/request_dispatcher.h"
+#include "protocol/context.h"
+#include "protocol/effect.h"
+#include "protocol/event.h"
+#include "registry/entry_presence.h"
+#include "registry/registry_codec.h"
+#include "registry/registry_sync.h"
+
+namespace kumquatcove {
+
+/** What a node needs to know before its first event. */
+struct DispatchNodeSettings {
+  Identity identity;
+  DispatchSettings dispatch;
+  /** Seed of the node's random numbers. */
+  std::uint64_t seed = 0;
+};
+
+/**
+ * All decisions of one entry instance on a deployment whose platform keeps the
+ * routes and registers the upstreams.
+ *
+ * Same contract as NodeReducer: the same events with the same times and settings
+ * give the same effects; no function blocks, reads a clock or does I/O. Thread
+ * safety: none; the driver passes one event at a time.
+ */
+class DispatchReducer {
+ public:
+  /** `codec` must outlive this object. */
+  DispatchReducer(DispatchNodeSettings settings, const RegistryCodec& codec);
+
+  /**
+   * Handles one event and returns the effects, to be carried out in order.
+   *
+   * Preconditions: the first event is Started; `now.monotonic` is not below
+   * that of the event before.
+   */
+  std::vector<Effect> Reduce(const Event& event, ClockReading now);
+
+ private:
+  struct EventVisitor;
+  struct ChangeVisitor;
+
+  void HandleStarted();
+  void HandleTick();
+  void HandleStoreReply(const StoreReplyArrived& event);
+  void HandleLookup(const LookupArrived& event);
+  void HandleOperatorCommand(const OperatorCommandArrived& event);
+  void HandleStopRequested();
+  void HandleSettings(const DispatchSettings& settings);
+
+  void ApplyChanges();
+  void DetectPause();
+  void UpdatePhase();
+  void ApplyCallerLimits();
+  void PublishSuspicions();
+  void ExitWhenDone();
+  void RemoveRegistration();
+
+  Context m_context;
+  DispatchSettings m_settings;
+  const RegistryCodec& m_codec;
+  RegistrySync m_registry;
+  EntryPresence m_presence;
+  RequestDispatcher m_dispatcher;
+  MonotonicTime m_last_event;
+  std::optional<MonotonicTime> m_stop_requested;
+  bool m_ready = false;
+  bool m_exited = false;
+};
+
+}  // namespace kumquatcove
+
+#endif  // DISPATCH_DISPATCH_REDUCER_H_
--- /dev/null
+++ b/src/dispatch/placement.h
@@ -0,0 +1,100 @@
+#ifndef DISPATCH_PLACEMENT_H_
+#define DISPATCH_PLACEMENT_H_
+
+#include <optional>
+#include <vector>
+
+#include "base/clock_reading.h"
+#include "base/name.h"
+#include "base/random.h"
+#include "dispatch/object_memory.h"
+#include "dispatch/service_times.h"
+#include "dispatch/upstream_table.h"
+#include "dispatch/zone_distances.h"
+
+namespace kumquatcove {
+
+/** A request that is to be placed on an upstream. */
+struct PlacementRequest {
+  ServiceName service;
+  /** 0 if upstreams handle all objects alike. */
+  ObjectHash object = 0;
+  /** Upstreams that have had the request. */
+  std::vector<UpstreamId> excluded;
+  /** Regions that it may run in; empty for all. */
+  std::vector<RegionName> home_regions;
+  /** Number of requests per second that this instance may send to one cold
+   * upstream of its own region. */
+  double cold_rate = 0;
+};
+
+/** Where a request goes, and what is expected there. */
+struct PlacementChoice {
+  UpstreamId upstream;
+  ObjectFamiliarity familiarity = ObjectFamiliarity::kUnknown;
+  /** Expected time from now to the answer. */
+  Duration completion{0};
+  /** Expected time at the upstream, without network and waiting. */
+  Duration work_time{0};
+};
+
+/**
+ * Chooses the upstream for a request by its expected completion.
+ *
+ * Answers the load of many small upstreams that differ in distance, in the
+ * objects that they have handled lately, and in the speed of their machines at
+ * the moment: each candidate is charged its round trip, the wait for a slot, the
+ * work with or without the object at hand, and the risk of a rejection; crossing
+ * to another zone or region costs extra, since its bytes do. Objects are kept on
+ * few upstreams of each region, alike at all instances. Thread safety: none.
+ */
+class Placement {
+ public:
+  /** Requests beyond its slots that an upstream may get. What others send isn't
+   * known exactly, and an idle slot costs more than a short wait. */
+  static constexpr double kMaxWaitingAtUpstream = 0.5;
+
+  /** The references must outlive this object. */
+  Placement(const UpstreamTable& upstreams,
+            const ServiceTimes& times,
+            const ZoneDistances& distances,
+            RegionName region)
+      : m_upstreams(upstreams),
+        m_times(times),
+        m_distances(distances),
+        m_region(std::move(region)) {}
+
+  /** Returns the best upstream; nothing if none has room now. */
+  std::optional<PlacementChoice> Choose(const PlacementRequest& request,
+                                        MonotonicTime now,
+                                        Random& random) const;
+
+  /** Returns whether some upstream could take the request once it has room. */
+  bool HasCandidate(const PlacementRequest& request, MonotonicTime now) const;
+
+ private:
+  struct Candidate {
+    PlacementChoice choice;
+    double cost_us = 0;
+  };
+
+  bool IsAllowed(const TrackedUpstream& upstream,
+                 const PlacementRequest& request,
+                 MonotonicTime now) const;
+  bool HasRoom(const TrackedUpstream& upstream,
+               const PlacementRequest& request,
+               MonotonicTime now) const;
+  Candidate Judge(const TrackedUpstream& upstream,
+                  const PlacementRequest& request,
+                  bool preferred,
+                  MonotonicTime now) const;
+
+  const UpstreamTable& m_upstreams;
+  const ServiceTimes& m_times;
+  const ZoneDistances& m_distances;
+  RegionName m_region;
+};
+
+}  // namespace kumquatcove
+
+#endif  // DISPATCH_PLACEMENT_H_
--- /dev/null
+++ b/src/dispatch/request_dispatcher.cc
@@ -0,0 +1,682 @@
+#include "dispatch/request_dispatcher.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace kumquatcove {
+namespace {
+
+// Bound on the memory that requests in progress take.
+constexpr std::size_t kMaxPendingRequests = 4'000;
+
+// Time for connecting to an upstream. A live one answers within a round trip;
+// one that has lost its power or its network doesn't answer at all.
+constexpr Duration kConnectTimeout = Milliseconds(350);
+// A lost packet is sent again by the kernel after a second; waiting for it would
+// cost more than another upstream.
+constexpr Duration kConnectRoundTrips = Milliseconds(4);
+
+// An upstream ends work itself at the deadline that it was given; its answer
+// needs this long to arrive.
+constexpr Duration kAnswerMargin = Milliseconds(120);
+// A request that has less time left than this isn't sent any more.
+constexpr Duration kMinSendTime = Milliseconds(20);
+
+constexpr Duration kDefaultDeadline = Seconds(10);
+
+// A caller that was refused comes back after this time at least, and one that
+// waited for its turn after this at most.
+constexpr Duration kMinRetryAfter = Milliseconds(100);
+constexpr Duration kMaxRetryAfter = Milliseconds(1000);
+// Until an instance knows the configuration.
+constexpr Duration kNotReadyRetryAfter = Milliseconds(300);
+
+constexpr std::int32_t kFirstServerError = 500;
+constexpr std::int32_t kFirstSuccess = 200;
+constexpr std::int32_t kFirstRedirect = 300;
+constexpr std::int32_t kRequestTimeout = 408;
+constexpr std::int32_t kMisdirected = 421;
+constexpr std::int32_t kTooManyRequests = 429;
+constexpr std::int32_t kUnavailable = 503;
+
+bool IsSuccess(std::int32_t status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+/** Returns whether a status tells a caller that its request has not run. */
+bool PromisesNotRun(std::int32_t status) {
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
+std::string FormatMicroseconds(Duration time) {
+  return std::to_string(time.count());
+}
+
+CallerAnswer MakeAnswer(Outcome outcome, RefusalReason reason) {
+  CallerAnswer answer;
+  answer.outcome = outcome;
+  answer.reason = reason;
+  return answer;
+}
+
+}  // namespace
+
+RequestDispatcher::RequestDispatcher(const Identity& self,
+                                     const DispatchSettings& settings)
+    : m_region(self.region),
+      m_routes(std::make_shared<const RouteTable>()),
+      m_distances(self.zone, self.region, settings),
+      m_placement(m_upstreams, m_times, m_distances, self.region),
+      m_resends(settings) {}
+
+void RequestDispatcher::SetSettings(const DispatchSettings& settings) {
+  m_distances.SetSettings(settings);
+  m_resends.SetSettings(settings);
+}
+
+void RequestDispatcher::OnUpstreamRegistered(
+    Context& context,
+    const UpstreamRegistration& registration) {
+  const RegionName region = m_distances.RegionOf(registration.zone);
+  if (region.IsEmpty()) {
+    context.Record("upstream_ignored", registration.id.Text(),
+                   {{"reason", "unknown zone"},
+                    {"zone", registration.zone.Text()}});
+    OnUpstreamGone(context, registration.id);
+    return;
+  }
+  const TrackedUpstream* known = m_upstreams.Find(registration.id);
+  const bool moved = known != nullptr &&
+                     known->registration.address != registration.address;
+  m_upstreams.OnRegistered(registration, region, context.Now());
+  if (moved || registration.draining) {
+    for (const ConnectionId connection : m_idle.TakeAll(registration.id)) {
+      context.Emit(CloseConnection{connection});
+    }
+  }
+  PlaceWaiting(context, registration.service);
+}
+
+void RequestDispatcher::OnUpstreamGone(Context& context, const UpstreamId& id) {
+  m_upstreams.OnGone(id);
+  for (const ConnectionId connection : m_idle.TakeAll(id)) {
+    context.Emit(CloseConnection{connection});
+  }
+}
+
+void RequestDispatcher::OnEvacuationChanged(const ZoneName& zone,
+                                            bool evacuated) {
+  m_upstreams.SetEvacuated(zone, evacuated);
+}
+
+void RequestDispatcher::OnSuspicionReported(Context& context,
+                                            const std::string& reporter,
+                                            const SuspicionRecord& record) {
+  m_suspicions.OnReport(reporter, record, context.Now());
+}
+
+const Route* RequestDispatcher::FindRoute(const HttpRequest& http) const {
+  const std::string_view target = http.target;
+  return m_routes->Find(http.host, target.substr(0, target.find('?')));
+}
+
+RefusalReason RequestDispatcher::CheckAdmission(const DispatchRequest& request,
+                                                MonotonicTime now) const {
+  if (m_requests.size() > kMaxPendingRequests) {
+    return RefusalReason::kOverloaded;
+  }
+  if (m_suspicions.IsRejected(request.content_hash, now)) {
+    return RefusalReason::kQuarantined;
+  }
+  return RefusalReason::kNone;
+}
+
+void RequestDispatcher::OnRequestArrived(Context& context,
+                                         const RequestArrived& event) {
+  DispatchRequest& request = m_requests[event.request];
+  request.id = event.request;
+  request.http = std::make_shared<const HttpRequest>(event.http);
+  request.attempt = event.attempt;
+  request.table = m_routes;
+  request.arrived = context.Now();
+  request.deadline =
+      context.Now() + event.http.deadline.value_or(kDefaultDeadline);
+  if (!m_ready) {
+    Refuse(context, request, RefusalReason::kNotReady, kNotReadyRetryAfter);
+    return;
+  }
+  request.route = FindRoute(event.http);
+  if (request.route == nullptr) {
+    Refuse(context, request, RefusalReason::kUnknownService, Duration::zero());
+    return;
+  }
+  const Route& route = *request.route;
+  request.deadline = std::min(request.deadline, context.Now() + route.timeout);
+  request.service = m_splitter.Next(route);
+  request.content_hash = StableHash(
+      {event.http.host, event.http.method, event.http.target, event.http.body});
+  request.placement.service = request.service;
+  request.placement.home_regions = route.home_regions;
+  if (route.has_object_affinity && !event.object.empty()) {
+    request.placement.object = HashObject(route.name, event.object);
+  }
+  m_resends.OnRequest(request.service, context.Now());
+  const RefusalReason reason = CheckAdmission(request, context.Now());
+  if (reason != RefusalReason::kNone) {
+    Refuse(context, request, reason, kMaxRetryAfter);
+    return;
+  }
+  Enqueue(context, request);
+}
+
+double RequestDispatcher::ColdRate(const ServiceName& service) const {
+  const ServiceTraits* traits = m_routes->FindService(service);
+  return traits == nullptr
+             ? 0
+             : traits->cold_requests_per_second / m_counts.in_region;
+}
+
+void RequestDispatcher::Enqueue(Context& context, DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  if (!m_placement.HasCandidate(request.placement, now)) {
+    Refuse(context, request, RefusalReason::kNoUpstream, kMaxRetryAfter);
+    return;
+  }
+  WaitingQueue& queue = m_queues[request.service];
+  const std::int32_t priority = request.route->priority;
+  const Duration wait = queue.ForecastWait(priority, now);
+  const Duration work =
+      m_times.Expect(request.service, ObjectFamiliarity::kFamiliar);
+  if (now + wait + work > request.deadline) {
+    Refuse(context, request, RefusalReason::kQueueFull,
+           std::clamp(wait, kMinRetryAfter, kMaxRetryAfter));
+    return;
+  }
+  const ServiceName service = request.service;
+  queue.Add(request.id, priority, request.arrived);
+  PlaceWaiting(context, service);
+}
+
+void RequestDispatcher::PlaceWaiting(Context& context,
+                                     const ServiceName& service) {
+  const auto found = m_queues.find(service);
+  if (found == m_queues.end() || found->second.IsEmpty()) {
+    return;
+  }
+  // Requests differ in the upstreams that they may still go to, so that one
+  // without a place doesn't stop those behind it; a few are enough to know that
+  // there is no room.
+  constexpr int kMaxFailures = 4;
+  int failures = 0;
+  for (const RequestId id : found->second.InOrder()) {
+    DispatchRequest* request = Find(id);
+    assert(request != nullptr);
+    if (TryStart(context, *request)) {
+      found->second.Remove(id);
+      found->second.NoteStarted(context.Now());
+    } else if (++failures >= kMaxFailures) {
+      return;
+    }
+  }
+}
+
+bool RequestDispatcher::TryStart(Context& context, DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  request.placement.cold_rate = ColdRate(request.service);
+  std::optional<PlacementChoice> choice =
+      m_placement.Choose(request.placement, now, context.RandomNumbers());
+  if (!choice) {
+    return false;
+  }
+  TrackedUpstream& upstream = *m_upstreams.Find(choice->upstream);
+  if (m_upstreams.IsCold(upstream, now) &&
+      !upstream.pacer.TryTake(now, request.placement.cold_rate)) {
+    return false;
+  }
+  ActiveSend send;
+  send.upstream = choice->upstream;
+  send.started = now;
+  send.choice = std::move(*choice);
+  m_upstreams.OnStarted(send.upstream);
+  const std::optional<ConnectionId> idle =
+      m_idle.Take(send.upstream, request.IsIdempotent(), now);
+  send.connection = idle ? *idle : NextConnection();
+  m_connections[send.connection] = request.id;
+  request.active = std::move(send);
+  if (idle) {
+    Send(context, request);
+  } else {
+    context.Emit(OpenConnection{request.active->connection,
+                                request.active->upstream,
+                                upstream.registration.address});
+  }
+  return true;
+}
+
+void RequestDispatcher::Send(Context& context, DispatchRequest& request) {
+  ActiveSend& send = *request.active;
+  send.sent = true;
+  send.sent_at = context.Now();
+  ++request.sends;
+  context.Emit(SendUpstream{send.connection, request.deadline,
+                            request.deadline - context.Now(), *request.http,
+                            send.upstream, request.attempt});
+}
+
+void RequestDispatcher::OnConnectionOpened(Context& context,
+                                           ConnectionId connection) {
+  const auto check = m_crash_checks.find(connection);
+  if (check != m_crash_checks.end()) {
+    // The upstream is there: only the connection was lost.
+    m_upstreams.OnConnected(check->second.upstream);
+    m_idle.Add(check->second.upstream, connection, std::nullopt, context.Now());
+    m_crash_checks.erase(check);
+    return;
+  }
+  DispatchRequest* request = FindByConnection(connection);
+  if (request == nullptr || !request->active) {
+    context.Emit(CloseConnection{connection});
+    return;
+  }
+  const UpstreamId id = request->active->upstream;
+  m_upstreams.OnConnected(id);
+  const TrackedUpstream* upstream = m_upstreams.Find(id);
+  if (upstream != nullptr) {
+    m_distances.AddRoundTrip(upstream->registration.zone,
+                             context.Now() - request->active->started);
+  }
+  const bool open =
+      upstream != nullptr && m_upstreams.IsOpen(*upstream, context.Now());
+  if (!open || request->deadline - context.Now() < kMinSendTime) {
+    // The upstream has announced that it leaves since it was chosen.
+    context.Emit(CloseConnection{connection});
+    EndSend(context, *request, SendResult::kAbandoned);
+    Enqueue(context, *request);
+    return;
+  }
+  Send(context, *request);
+}
+
+void RequestDispatcher::OnConnectionLost(Context& context,
+                                         const ConnectionLost& event) {
+  if (m_crash_checks.contains(event.connection)) {
+    OnCrashCheckLost(context, event.connection);
+    return;
+  }
+  if (m_idle.Remove(event.connection)) {
+    return;
+  }
+  DispatchRequest* request = FindByConnection(event.connection);
+  if (request == nullptr || !request->active) {
+    return;
+  }
+  if (!request->active->sent) {
+    OnOpenFailed(context, *request);
+  } else if (event.unwritten) {
+    --request->sends;
+    EndSend(context, *request, SendResult::kAbandoned);
+    Enqueue(context, *request);
+  } else {
+    OnBroken(context, *request);
+  }
+}
+
+void RequestDispatcher::OnOpenFailed(Context& context,
+                                     DispatchRequest& request) {
+  const UpstreamId upstream = request.active->upstream;
+  context.Record("upstream_unreachable", upstream.Text(),
+                 {{"request", FormatRequestId(request.id)}});
+  EndSend(context, request, SendResult::kAbandoned);
+  m_upstreams.OnConnectFailed(upstream, context.Now());
+  for (const ConnectionId idle : m_idle.TakeAll(upstream)) {
+    context.Emit(CloseConnection{idle});
+  }
+  // Nothing was sent, so that this is no resend.
+  Enqueue(context, request);
+}
+
+void RequestDispatcher::OnBroken(Context& context, DispatchRequest& request) {
+  const UpstreamId upstream = request.active->upstream;
+  context.Record("connection_broken", FormatRequestId(request.id),
+                 {{"upstream", upstream.Text()},
+                  {"attempt", request.attempt}});
+  request.may_have_run = true;
+  EndSend(context, request, SendResult::kFailed);
+  CheckForCrash(context, upstream, request.content_hash);
+  if (request.abandoned) {
+    Refuse(context, request, RefusalReason::kUpstreamFailed, Duration::zero());
+    return;
+  }
+  request.placement.excluded.push_back(upstream);
+  if (!request.IsIdempotent() || !TryResend(context, request)) {
+    Refuse(context, request, RefusalReason::kUpstreamFailed, Duration::zero());
+  }
+}
+
+void RequestDispatcher::CheckForCrash(Context& context,
+                                      const UpstreamId& upstream,
+                                      std::uint64_t content_hash) {
+  for (auto& [connection, check] : m_crash_checks) {
+    if (check.upstream == upstream) {
+      check.contents.push_back(content_hash);
+      return;
+    }
+  }
+  const TrackedUpstream* tracked = m_upstreams.Find(upstream);
+  if (tracked == nullptr) {
+    return;
+  }
+  const ConnectionId connection = NextConnection();
+  m_crash_checks[connection] = {upstream, context.Now(), {content_hash}};
+  context.Emit(OpenConnection{connection, upstream,
+                              tracked->registration.address});
+}
+
+void RequestDispatcher::OnCrashCheckLost(Context& context,
+                                         ConnectionId connection) {
+  const CrashCheck check = std::move(m_crash_checks[connection]);
+  m_crash_checks.erase(connection);
+  m_upstreams.OnConnectFailed(check.upstream, context.Now());
+  for (const std::uint64_t content : check.contents) {
+    m_suspicion_changes.push_back(
+        m_suspicions.OnBreak(content, context.Now()));
+    context.Record("crash_suspected", check.upstream.Text(),
+                   {{"content", std::to_string(content)},
+                    {"breaks",
+                     std::to_string(m_suspicions.CountBreaks(content))}});
+  }
+}
+
+void RequestDispatcher::OnUpstreamAnswered(Context& context,
+                                           const UpstreamAnswered& event) {
+  DispatchRequest* request = FindByConnection(event.connection);
+  if (request == nullptr || !request->active || !request->active->sent) {
+    if (event.keep_alive) {
+      context.Emit(CloseConnection{event.connection});
+    }
+    return;
+  }
+  const ActiveSend send = *request->active;
+  const bool rejected = event.not_executed || event.wrong_upstream;
+  const bool failed = event.answer.status >= kFirstServerError;
+  EndSend(context, *request,
+          rejected ? SendResult::kRejected
+                   : (failed ? SendResult::kFailed : SendResult::kAnswered));
+  if (event.load) {
+    m_upstreams.OnLoadReport(send.upstream, *event.load, context.Now());
+  }
+  if (event.keep_alive) {
+    const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
+    const bool keep = upstream != nullptr && !upstream->leaving &&
+                      !event.draining && !event.wrong_upstream;
+    if (keep) {
+      m_idle.Add(send.upstream, event.connection, event.idle_limit,
+                 context.Now());
+    } else {
+      context.Emit(CloseConnection{event.connection});
+    }
+  }
+  const ServiceName service = request->service;
+  if (rejected) {
+    OnRejected(context, *request, event);
+  } else {
+    LearnFromAnswer(context, *request, send, event);
+    request->may_have_run = true;
+    request->placement.excluded.push_back(send.upstream);
+    const bool resent = failed && request->IsIdempotent() &&
+                        !request->abandoned && TryResend(context, *request);
+    if (!resent) {
+      Deliver(context, *request, event.answer);
+    }
+  }
+  PlaceWaiting(context, service);
+}
+
+void RequestDispatcher::OnRejected(Context& context,
+                                   DispatchRequest& request,
+                                   const UpstreamAnswered& event) {
+  const UpstreamId upstream = request.placement.excluded.empty()
+                                  ? UpstreamId()
+                                  : request.placement.excluded.back();
+  context.Record("send_rejected", FormatRequestId(request.id),
+                 {{"attempt", request.attempt},
+                  {"upstream", upstream.Text()},
+                  {"status", std::to_string(event.answer.status)}});
+  if (event.wrong_upstream) {
+    m_upstreams.OnDisplaced(upstream);
+  }
+  if (request.abandoned || !TryResend(context, request)) {
+    Refuse(context, request, RefusalReason::kNoUpstream, kMinRetryAfter);
+  }
+}
+
+void RequestDispatcher::LearnFromAnswer(Context& context,
+                                        const DispatchRequest& request,
+                                        const ActiveSend& send,
+                                        const UpstreamAnswered& event) {
+  const MonotonicTime now = context.Now();
+  const ObjectHash object = request.placement.object;
+  TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
+  if (!IsSuccess(event.answer.status)) {
+    return;
+  }
+  if (m_suspicions.OnSuccess(request.content_hash)) {
+    m_suspicion_changes.push_back({request.content_hash, 0});
+  }
+  if (upstream == nullptr) {
+    return;
+  }
+  const Duration spent =
+      now - send.sent_at -
+      m_distances.RoundTrip(upstream->registration.zone);
+  const double ratio = event.load ? event.load->work_time_percent / 100.0 : 1;
+  const bool known = object == 0 || upstream->objects.Contains(object);
+  if (!m_upstreams.IsCold(*upstream, now)) {
+    m_times.Add(request.service,
+                known ? ObjectFamiliarity::kFamiliar
+                      : ObjectFamiliarity::kUnknown,
+                Duration(static_cast<std::int64_t>(
+                    static_cast<double>(spent.count()) /
+                    std::max(ratio, 0.1))));
+    const Duration expected = m_times.Expect(
+        request.service, known ? ObjectFamiliarity::kFamiliar
+                               : ObjectFamiliarity::kUnknown);
+    m_upstreams.OnAnswerTime(send.upstream,
+                             static_cast<double>(spent.count()) /
+                                 std::max(ratio, 0.1) /
+                                 static_cast<double>(std::max<std::int64_t>(
+                                     expected.count(), 1)),
+                             now);
+  }
+  if (object != 0) {
+    upstream->objects.Note(object);
+  }
+}
+
+bool RequestDispatcher::TryResend(Context& context, DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  const Duration work =
+      m_times.Expect(request.service, ObjectFamiliarity::kFamiliar);
+  if (request.sends >= request.route->max_upstreams ||
+      now + work > request.deadline ||
+      !m_placement.HasCandidate(request.placement, now) ||
+      m_suspicions.IsRejected(request.content_hash, now) ||
+      !m_resends.TryTake(request.service, now, m_counts.in_total)) {
+    return false;
+  }
+  m_queues[request.service].Add(request.id, request.route->priority,
+                                request.arrived);
+  PlaceWaiting(context, request.service);
+  return true;
+}
+
+void RequestDispatcher::EndSend(Context& context,
+                                DispatchRequest& request,
+                                SendResult result) {
+  const ActiveSend send = std::move(*request.active);
+  request.active.reset();
+  m_connections.erase(send.connection);
+  m_upstreams.OnEnded(send.upstream, result, context.Now());
+  if (result == SendResult::kRejected) {
+    request.placement.excluded.push_back(send.upstream);
+  }
+}
+
+void RequestDispatcher::OnCallerGone(Context& context, RequestId id) {
+  DispatchRequest* request = Find(id);
+  if (request == nullptr) {
+    return;
+  }
+  request->abandoned = true;
+  // An order that an upstream is at work on is better finished than cut: the
+  // caller would know nothing of it either way.
+  const bool must_go_on = request->route != nullptr &&
+                          !request->IsIdempotent() && request->active &&
+                          request->active->sent;
+  if (!must_go_on) {
+    Refuse(context, *request, RefusalReason::kDeadlineExpired,
+           Duration::zero());
+  }
+}
+
+void RequestDispatcher::OnTick(Context& context) {
+  const MonotonicTime now = context.Now();
+  std::vector<ConnectionId> failed_opens;
+  for (const auto& [connection, check] : m_crash_checks) {
+    if (now >= check.started + kConnectTimeout) {
+      failed_opens.push_back(connection);
+    }
+  }
+  for (const ConnectionId connection : failed_opens) {
+    context.Emit(CloseConnection{connection});
+    OnCrashCheckLost(context, connection);
+  }
+  std::vector<RequestId> ids;
+  ids.reserve(m_requests.size());
+  for (const auto& [id, request] : m_requests) {
+    ids.push_back(id);
+  }
+  for (const RequestId id : ids) {
+    if (DispatchRequest* request = Find(id)) {
+      ExpireIfDue(context, *request);
+    }
+  }
+  for (auto& [service, queue] : m_queues) {
+    PlaceWaiting(context, service);
+  }
+  for (const ConnectionId connection : m_idle.TakeExpired(now)) {
+    context.Emit(CloseConnection{connection});
+  }
+}
+
+void RequestDispatcher::ExpireIfDue(Context& context,
+                                    DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  if (request.active && request.active->sent) {
+    if (now >= request.deadline + kAnswerMargin) {
+      context.Emit(CloseConnection{request.active->connection});
+      request.may_have_run = true;
+      EndSend(context, request, SendResult::kAbandoned);
+      Refuse(context, request, RefusalReason::kDeadlineExpired,
+             Duration::zero());
+    }
+    return;
+  }
+  if (now + kMinSendTime >= request.deadline) {
+    Refuse(context, request, RefusalReason::kDeadlineExpired, kMinRetryAfter);
+    return;
+  }
+  if (request.active) {
+    const TrackedUpstream* upstream = m_upstreams.Find(request.active->upstream);
+    const Duration limit =
+        upstream == nullptr
+            ? kConnectTimeout
+            : std::max(kConnectTimeout,
+                       m_distances.RoundTrip(upstream->registration.zone) * 2 +
+                           kConnectRoundTrips);
+    if (now >= request.active->started + limit) {
+      context.Emit(CloseConnection{request.active->connection});
+      OnOpenFailed(context, request);
+    }
+  }
+}
+
+void RequestDispatcher::Refuse(Context& context,
+                               DispatchRequest& request,
+                               RefusalReason reason,
+                               Duration retry_after) {
+  if (request.active) {
+    request.may_have_run = request.may_have_run || request.active->sent;
+    context.Emit(CloseConnection{request.active->connection});
+    EndSend(context, request, SendResult::kAbandoned);
+  }
+  const Outcome outcome =
+      request.may_have_run ? Outcome::kUnknown : Outcome::kDidNotRun;
+  std::optional<Duration> come_back;
+  if (outcome == Outcome::kDidNotRun && retry_after > Duration::zero()) {
+    come_back = retry_after;
+  }
+  Finish(context, request, MakeAnswer(outcome, reason), come_back);
+}
+
+void RequestDispatcher::Deliver(Context& context,
+                                DispatchRequest& request,
+                                HttpAnswer answer) {
+  if (!request.IsIdempotent() && PromisesNotRun(answer.status)) {
+    // The upstream didn't say that it hasn't run the request, and the caller
+    // would read the status as that.
+    Refuse(context, request, RefusalReason::kUpstreamFailed, Duration::zero());
+    return;
+  }
+  CallerAnswer result = MakeAnswer(Outcome::kRan, RefusalReason::kNone);
+  result.http = std::move(answer);
+  Finish(context, request, std::move(result), std::nullopt);
+}
+
+void RequestDispatcher::Finish(Context& context,
+                               DispatchRequest& request,
+                               CallerAnswer answer,
+                               std::optional<Duration> retry_after) {
+  context.Record(
+      answer.outcome == Outcome::kRan ? "request_answered" : "request_refused",
+      FormatRequestId(request.id),
+      {{"attempt", request.attempt},
+       {"route", request.route == nullptr ? "" : request.route->name},
+       {"service", request.service.Text()},
+       {"configuration", std::to_string(request.table->Version())},
+       {"outcome", std::string(ToString(answer.outcome))},
+       {"reason", std::string(ToString(answer.reason))},
+       {"status", std::to_string(answer.http.status)},
+       {"sends", std::to_string(request.sends)},
+       {"upstream", request.placement.excluded.empty()
+                        ? ""
+                        : request.placement.excluded.back().Text()},
+       {"abandoned", request.abandoned ? "true" : "false"},
+       {"duration_us", FormatMicroseconds(context.Now() - request.arrived)}});
+  if (!request.service.IsEmpty()) {
+    m_queues[request.service].Remove(request.id);
+  }
+  const RequestId id = request.id;
+  context.Emit(AnswerCaller{id, std::move(answer), retry_after});
+  m_requests.erase(id);
+}
+
+std::vector<SuspicionRecord> RequestDispatcher::TakeSuspicions() {
+  return std::exchange(m_suspicion_changes, {});
+}
+
+DispatchRequest* RequestDispatcher::Find(RequestId id) {
+  const auto found = m_requests.find(id);
+  return found == m_requests.end() ? nullptr : &found->second;
+}
+
+DispatchRequest* RequestDispatcher::FindByConnection(ConnectionId connection) {
+  const auto found = m_connections.find(connection);
+  return found == m_connections.end() ? nullptr : Find(found->second);
+}
+
+}  // namespace kumquatcove
--- /dev/null
+++ b/src/dispatch/request_dispatcher.h
@@ -0,0 +1,162 @@
+#ifndef DISPATCH_REQUEST_DISPATCHER_H_
+#define DISPATCH_REQUEST_DISPATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "dispatch/crash_suspicions.h"
+#include "dispatch/dispatch_request.h"
+#include "dispatch/idle_connections.h"
+#include "dispatch/placement.h"
+#include "dispatch/resend_budget.h"
+#include "dispatch/service_splitter.h"
+#include "dispatch/service_times.h"
+#include "dispatch/upstream_table.h"
+#include "dispatch/waiting_queue.h"
+#include "dispatch/zone_distances.h"
+#include "protocol/context.h"
+#include "protocol/event.h"
+
+namespace kumquatcove {
+
+/** Numbers of entry instances, by which limits are divided. */
+struct InstanceCounts {
+  int in_region = 1;
+  int in_total = 1;
+};
+
+/**
+ * Life of each request on a deployment whose upstreams are registered: route,
+ * queue, upstream, connection, resend and answer.
+ *
+ * Every request passed in gets exactly one answer. A non-idempotent request is
+ * sent once more only if no byte of it was written, or if the upstream itself
+ * said that it didn't execute it; the process that took it from its caller
+ * decides alone, so that nothing has to be stored for that. The outcome
+ * did-not-run is given only then, too. Thread safety: none; owned by one
+ * reducer.
+ */
+class RequestDispatcher {
+ public:
+  RequestDispatcher(const Identity& self, const DispatchSettings& settings);
+
+  void SetSettings(const DispatchSettings& settings);
+  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    m_routes = std::move(routes);
+  }
+  void SetInstanceCounts(InstanceCounts counts) { m_counts = counts; }
+  /** Refuses requests until there is a configuration. */
+  void SetReady(bool ready) { m_ready = ready; }
+
+  void OnUpstreamRegistered(Context& context,
+                            const UpstreamRegistration& registration);
+  void OnUpstreamGone(Context& context, const UpstreamId& id);
+  void OnEvacuationChanged(const ZoneName& zone, bool evacuated);
+  void OnSuspicionReported(Context& context,
+                           const std::string& reporter,
+                           const SuspicionRecord& record);
+
+  void OnRequestArrived(Context& context, const RequestArrived& event);
+  void OnCallerGone(Context& context, RequestId request);
+  void OnConnectionOpened(Context& context, ConnectionId connection);
+  void OnConnectionLost(Context& context, const ConnectionLost& event);
+  void OnUpstreamAnswered(Context& context, const UpstreamAnswered& event);
+  void OnTick(Context& context);
+
+  /** Returns counts of suspicion of this instance that changed since the last
+   * call, to be published. */
+  std::vector<SuspicionRecord> TakeSuspicions();
+
+  std::size_t PendingCount() const { return m_requests.size(); }
+
+ private:
+  /** A connection that is being opened to find out whether an upstream whose
+   * connection broke has crashed. */
+  struct CrashCheck {
+    UpstreamId upstream;
+    MonotonicTime started;
+    /** Contents that were in flight at the break. */
+    std::vector<std::uint64_t> contents;
+  };
+
+  // Admission.
+  const Route* FindRoute(const HttpRequest& http) const;
+  RefusalReason CheckAdmission(const DispatchRequest& request,
+                               MonotonicTime now) const;
+
+  // Placement.
+  void Enqueue(Context& context, DispatchRequest& request);
+  void PlaceWaiting(Context& context, const ServiceName& service);
+  bool TryStart(Context& context, DispatchRequest& request);
+  void Send(Context& context, DispatchRequest& request);
+  double ColdRate(const ServiceName& service) const;
+
+  // Results.
+  void EndSend(Context& context, DispatchRequest& request, SendResult result);
+  void OnOpenFailed(Context& context, DispatchRequest& request);
+  void OnBroken(Context& context, DispatchRequest& request);
+  void OnRejected(Context& context,
+                  DispatchRequest& request,
+                  const UpstreamAnswered& event);
+  void LearnFromAnswer(Context& context,
+                       const DispatchRequest& request,
+                       const ActiveSend& send,
+                       const UpstreamAnswered& event);
+  /** Queues the request again if the limits allow another send. */
+  bool TryResend(Context& context, DispatchRequest& request);
+
+  // Crashes.
+  void CheckForCrash(Context& context,
+                     const UpstreamId& upstream,
+                     std::uint64_t content_hash);
+  void OnCrashCheckLost(Context& context, ConnectionId connection);
+
+  // Time.
+  void ExpireIfDue(Context& context, DispatchRequest& request);
+
+  // End.
+  void Refuse(Context& context,
+              DispatchRequest& request,
+              RefusalReason reason,
+              Duration retry_after);
+  void Deliver(Context& context,
+               DispatchRequest& request,
+               HttpAnswer answer);
+  void Finish(Context& context,
+              DispatchRequest& request,
+              CallerAnswer answer,
+              std::optional<Duration> retry_after);
+
+  DispatchRequest* Find(RequestId id);
+  DispatchRequest* FindByConnection(ConnectionId connection);
+  ConnectionId NextConnection() { return ConnectionId{++m_last_connection}; }
+
+  RegionName m_region;
+  std::shared_ptr<const RouteTable> m_routes;
+  InstanceCounts m_counts;
+  bool m_ready = false;
+  UpstreamTable m_upstreams;
+  ServiceTimes m_times;
+  ZoneDistances m_distances;
+  Placement m_placement;
+  IdleConnections m_idle;
+  ResendBudget m_resends;
+  ServiceSplitter m_splitter;
+  CrashSuspicions m_suspicions;
+  std::vector<SuspicionRecord> m_suspicion_changes;
+  std::map<RequestId, DispatchRequest> m_requests;
+  std::map<ServiceName, WaitingQueue> m_queues;
+  absl::flat_hash_map<ConnectionId, RequestId> m_connections;
+  absl::flat_hash_map<ConnectionId, CrashCheck> m_crash_checks;
+  std::uint64_t m_last_connection = 0;
+};
+
+}  // namespace kumquatcove
+
+#endif  // DISPATCH_REQUEST_DISPATCHER_H_
--- /dev/null
+++ b/src/dispatch/resend_budget.h
@@ -0,0 +1,52 @@
+#ifndef DISPATCH_RESEND_BUDGET_H_
+#define DISPATCH_RESEND_BUDGET_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include "base/clock_reading.h"
+#include "base/name.h"
+#include "dispatch/sliding_count.h"
+#include "protocol/dispatch_settings.h"
+
+namespace kumquatcove {
+
+/**
+ * Bounds how often requests are sent once more, over all entry instances.
+ *
+ * A service may get `resend_ratio` of its requests and `resend_extra` more in
+ * any window. Each instance uses the ratio of its own requests and an equal part
+ * of the rest, so that no instance needs to know what the others send. Thread
+ * safety: none.
+ */
+class ResendBudget {
+ public:
+  explicit ResendBudget(DispatchSettings settings)
+      : m_settings(std::move(settings)) {}
+
+  void SetSettings(DispatchSettings settings) {
+    m_settings = std::move(settings);
+  }
+
+  /** Notes a request of a caller. */
+  void OnRequest(const ServiceName& service, MonotonicTime now);
+
+  /** Takes one send if the budget allows it. `instances` is the number of entry
+   * instances that may send, at least 1. */
+  bool TryTake(const ServiceName& service, MonotonicTime now, int instances);
+
+ private:
+  struct Counts {
+    explicit Counts(Duration window) : requests(window), resends(window) {}
+    SlidingCount requests;
+    SlidingCount resends;
+  };
+
+  Counts& CountsOf(const ServiceName& service);
+
+  DispatchSettings m_settings;
+  absl::flat_hash_map<ServiceName, Counts> m_services;
+};
+
+}  // namespace kumquatcove
+
+#endif  // DISPATCH_RESEND_BUDGET_H_
--- /dev/null
+++ b/src/dispatch/upstream_table.cc
@@ -0,0 +1,227 @@
+#include "dispatch/upstream_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquatcove {
+namespace {
+
+// A report says little about the load after this time: requests take about as
+// long.
+constexpr Duration kLoadReportLife = Milliseconds(300);
+// The speed of a machine changes with its neighbours every few hundred
+// milliseconds.
+constexpr Duration kSpeedReportLife = Milliseconds(500);
+// Judgements fade, so that an upstream that was bad gets another chance.
+constexpr Duration kJudgementLife = Seconds(4);
+constexpr double kOthersWeight = 0.2;
+constexpr double kFailureWeight = 0.2;
+constexpr double kSlownessWeight = 0.2;
+constexpr double kMaxSlowness = 10;
+
+// Backoff after failed connections.
+constexpr Duration kFirstAvoidance = Milliseconds(300);
+constexpr Duration kMaxAvoidance = Milliseconds(2400);
+constexpr int kMaxDoublings = 3;
+
+double Remaining(Duration age, Duration life) {
+  return std::exp(-static_cast<double>(age.count()) /
+                  static_cast<double>(life.count()));
+}
+
+}  // namespace
+
+void UpstreamTable::OnRegistered(const UpstreamRegistration& registration,
+                                 const RegionName& region,
+                                 MonotonicTime now) {
+  const auto [entry, inserted] = m_upstreams.try_emplace(registration.id);
+  TrackedUpstream& upstream = entry->second;
+  const bool restarted =
+      inserted ||
+      upstream.registration.started_ms != registration.started_ms ||
+      upstream.registration.address != registration.address;
+  if (!inserted && upstream.registration.service != registration.service) {
+    Unlist(upstream.registration.service, registration.id);
+  }
+  if (restarted) {
+    const int in_flight = upstream.in_flight;
+    upstream = TrackedUpstream{};
+    upstream.in_flight = in_flight;
+    upstream.registered = now;
+  }
+  upstream.registration = registration;
+  upstream.region = region;
+  upstream.leaving = registration.draining;
+  upstream.gone = false;
+  upstream.cold_until = now + registration.cold_left;
+  std::vector<UpstreamId>& ids = m_services[registration.service];
+  const auto place = std::lower_bound(ids.begin(), ids.end(), registration.id);
+  if (place == ids.end() || *place != registration.id) {
+    ids.insert(place, registration.id);
+  }
+}
+
+void UpstreamTable::OnGone(const UpstreamId& id) {
+  TrackedUpstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->leaving = true;
+  upstream->gone = true;
+  RemoveIfGone(id);
+}
+
+void UpstreamTable::RemoveIfGone(const UpstreamId& id) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end() && found->second.gone &&
+      found->second.in_flight == 0) {
+    Unlist(found->second.registration.service, id);
+    m_upstreams.erase(found);
+  }
+}
+
+void UpstreamTable::Unlist(const ServiceName& service, const UpstreamId& id) {
+  std::erase(m_services[service], id);
+}
+
+void UpstreamTable::SetEvacuated(const ZoneName& zone, bool evacuated) {
+  if (evacuated) {
+    m_evacuated.insert(zone);
+  } else {
+    m_evacuated.erase(zone);
+  }
+}
+
+TrackedUpstream* UpstreamTable::Find(const UpstreamId& id) {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+const TrackedUpstream* UpstreamTable::Find(const UpstreamId& id) const {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+const std::vector<UpstreamId>& UpstreamTable::OfService(
+    const ServiceName& service) const {
+  static const std::vector<UpstreamId> kNone;
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? kNone : found->second;
+}
+
+bool UpstreamTable::IsOpen(const TrackedUpstream& upstream,
+                           MonotonicTime now) const {
+  return !upstream.leaving && !upstream.displaced &&
+         now >= upstream.avoid_until &&
+         !m_evacuated.contains(upstream.registration.zone);
+}
+
+void UpstreamTable::OnStarted(const UpstreamId& id) {
+  if (TrackedUpstream* upstream = Find(id)) {
+    ++upstream->in_flight;
+    ++upstream->sent;
+  }
+}
+
+void UpstreamTable::OnEnded(const UpstreamId& id,
+                            SendResult result,
+                            MonotonicTime now) {
+  TrackedUpstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->in_flight = std::max(0, upstream->in_flight - 1);
+  if (result != SendResult::kAbandoned) {
+    const double failed = result == SendResult::kAnswered ? 0 : 1;
+    const double share = EstimateFailureShare(*upstream, now);
+    upstream->slowness =
+        1 + (upstream->slowness - 1) *
+                Remaining(now - upstream->judged, kJudgementLife);
+    upstream->failure_share = share + (failed - share) * kFailureWeight;
+    upstream->judged = now;
+  }
+  RemoveIfGone(id);
+}
+
+void UpstreamTable::OnLoadReport(const UpstreamId& id,
+                                 const UpstreamLoadReport& report,
+                                 MonotonicTime now) {
+  TrackedUpstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->others_reported = std::max(
+      0.0, static_cast<double>(report.running + report.waiting) -
+               upstream->in_flight);
+  upstream->others_average +=
+      (upstream->others_reported - upstream->others_average) * kOthersWeight;
+  upstream->work_time_ratio =
+      std::clamp(report.work_time_percent / 100.0, 0.1, 100.0);
+  upstream->reported = now;
+  upstream->has_report = true;
+}
+
+void UpstreamTable::OnAnswerTime(const UpstreamId& id,
+                                 double ratio,
+                                 MonotonicTime now) {
+  TrackedUpstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  const double bounded = std::clamp(ratio, 0.5, kMaxSlowness);
+  upstream->slowness += (bounded - upstream->slowness) * kSlownessWeight;
+  upstream->judged = now;
+}
+
+void UpstreamTable::OnConnected(const UpstreamId& id) {
+  if (TrackedUpstream* upstream = Find(id)) {
+    upstream->connect_failures = 0;
+  }
+}
+
+void UpstreamTable::OnConnectFailed(const UpstreamId& id, MonotonicTime now) {
+  TrackedUpstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  const int doublings = std::min(upstream->connect_failures, kMaxDoublings);
+  ++upstream->connect_failures;
+  upstream->avoid_until =
+      now + std::min(kFirstAvoidance * (1 << doublings), kMaxAvoidance);
+  upstream->objects.Clear();
+}
+
+void UpstreamTable::OnDisplaced(const UpstreamId& id) {
+  if (TrackedUpstream* upstream = Find(id)) {
+    upstream->displaced = true;
+  }
+}
+
+double UpstreamTable::EstimateOccupancy(const TrackedUpstream& upstream,
+                                        MonotonicTime now) {
+  if (!upstream.has_report) {
+    return upstream.in_flight;
+  }
+  const double weight = Remaining(now - upstream.reported, kLoadReportLife);
+  return upstream.in_flight + weight * upstream.others_reported +
+         (1 - weight) * upstream.others_average;
+}
+
+double UpstreamTable::EstimateSlowness(const TrackedUpstream& upstream,
+                                       MonotonicTime now) {
+  const double judged = Remaining(now - upstream.judged, kJudgementLife);
+  const double speed =
+      upstream.has_report
+          ? Remaining(now - upstream.reported, kSpeedReportLife)
+          : 0;
+  return (1 + (upstream.slowness - 1) * judged) *
+         (1 + (upstream.work_time_ratio - 1) * speed);
+}
+
+double UpstreamTable::EstimateFailureShare(const TrackedUpstream& upstream,
+                                           MonotonicTime now) {
+  return upstream.failure_share *
+         Remaining(now - upstream.judged, kJudgementLife);
+}
+
+}  // namespace kumquatcove
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -159,6 +159,8 @@
     node.m_modules->health.OnProbe(node.m_context, event);
   }
   void operator()(const StopRequested&) const { node.HandleStopRequested(); }
+  /** Concerns deployments with registered upstreams only. */
+  void operator()(const SettingsReloaded&) const {}
 };
 
 NodeReducer::NodeReducer(NodeSettings settings)
@@ -232,6 +234,11 @@
     case StoreClientModule::kLimits:
       m_modules->budgets.OnStoreReply(m_context, event.id, event.reply);
       return;
+    case StoreClientModule::kRegistry:
+    case StoreClientModule::kPresence:
+    case StoreClientModule::kSuspicions:
+      // Modules of DispatchReducer.
+      return;
   }
 }
 
--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -33,13 +33,23 @@
 };
 
 /** Module that sent an operation to the store and gets its reply. */
-enum class StoreClientModule { kConfiguration, kClaims, kLimits };
+enum class StoreClientModule {
+  kConfiguration,
+  kClaims,
+  kLimits,
+  kRegistry,
+  kPresence,
+  kSuspicions,
+};
 
 constexpr auto EnumNames(StoreClientModule) {
   using Row = EnumName<StoreClientModule>;
   return std::array{Row{StoreClientModule::kConfiguration, "configuration"},
                     Row{StoreClientModule::kClaims, "claims"},
-                    Row{StoreClientModule::kLimits, "limits"}};
+                    Row{StoreClientModule::kLimits, "limits"},
+                    Row{StoreClientModule::kRegistry, "registry"},
+                    Row{StoreClientModule::kPresence, "presence"},
+                    Row{StoreClientModule::kSuspicions, "suspicions"}};
 }
 
 /**
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -1,6 +1,8 @@
 #ifndef PROTOCOL_EFFECT_H_
 #define PROTOCOL_EFFECT_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -75,14 +77,23 @@
   static constexpr std::string_view kName = "send_upstream";
   ConnectionId connection;
   MonotonicTime send_before;
-  /** Time left, passed to the upstream in `Kumquatcove-Deadline-Ms`. */
+  /** Time left, passed to the upstream as its deadline. */
   Duration patience{0};
   HttpRequest http;
+  /** Upstream that must have the address, if the platform can check it. */
+  UpstreamId upstream;
+  /** Id of the caller's send, by which an upstream's answer is recognised. */
+  std::string attempt;
   friend bool operator==(const SendUpstream&, const SendUpstream&) = default;
 };
 BOOST_DESCRIBE_STRUCT(SendUpstream,
                       (),
-                      (connection, send_before, patience, http))
+                      (connection,
+                       send_before,
+                       patience,
+                       http,
+                       upstream,
+                       attempt))
 
 /** Closes a connection; nothing is reported for it afterwards. */
 struct CloseConnection {
@@ -107,9 +118,11 @@
   static constexpr std::string_view kName = "answer_caller";
   RequestId request;
   CallerAnswer answer;
+  /** When the caller of a refused request may come back. */
+  std::optional<Duration> retry_after;
   friend bool operator==(const AnswerCaller&, const AnswerCaller&) = default;
 };
-BOOST_DESCRIBE_STRUCT(AnswerCaller, (), (request, answer))
+BOOST_DESCRIBE_STRUCT(AnswerCaller, (), (request, answer, retry_after))
 
 struct AnswerLookup {
   static constexpr std::string_view kName = "answer_lookup";
@@ -137,6 +150,30 @@
 };
 BOOST_DESCRIBE_STRUCT(RecordTimeline, (), (event))
 
+/** Tells the platform whether this instance takes requests. */
+struct SetReadiness {
+  static constexpr std::string_view kName = "set_readiness";
+  bool ready = false;
+  friend bool operator==(const SetReadiness&, const SetReadiness&) = default;
+};
+BOOST_DESCRIBE_STRUCT(SetReadiness, (), (ready))
+
+/** Bounds what callers may send; `closing` ends each caller's connection with
+ * its next answer. */
+struct SetCallerLimits {
+  static constexpr std::string_view kName = "set_caller_limits";
+  std::int64_t max_header_bytes = 0;
+  std::int64_t max_body_bytes = 0;
+  /** Longest time between two requests of a connection. */
+  Duration idle{0};
+  bool closing = false;
+  friend bool operator==(const SetCallerLimits&,
+                         const SetCallerLimits&) = default;
+};
+BOOST_DESCRIBE_STRUCT(SetCallerLimits,
+                      (),
+                      (max_header_bytes, max_body_bytes, idle, closing))
+
 /** Ends the process; nothing is in flight any more. */
 struct Exit {
   static constexpr std::string_view kName = "exit";
@@ -155,6 +192,8 @@
                             AnswerLookup,
                             AnswerOperator,
                             RecordTimeline,
+                            SetReadiness,
+                            SetCallerLimits,
                             Exit>;
 
 }  // namespace kumquatcove
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -2,6 +2,7 @@
 #define PROTOCOL_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -11,6 +12,7 @@
 
 #include "base/hybrid_clock.h"
 #include "base/name.h"
+#include "protocol/dispatch_settings.h"
 #include "protocol/http_message.h"
 #include "protocol/ids.h"
 #include "protocol/operator_command.h"
@@ -41,10 +43,16 @@
   static constexpr std::string_view kName = "request_arrived";
   RequestId request;
   HttpRequest http;
+  /** Id that the caller gave to this send of its request; empty if it gave none.
+   */
+  std::string attempt;
+  /** What the request is about, where callers say so: requests with the same
+   * object are served faster by an upstream that has handled it lately. */
+  std::string object;
   friend bool operator==(const RequestArrived&,
                          const RequestArrived&) = default;
 };
-BOOST_DESCRIBE_STRUCT(RequestArrived, (), (request, http))
+BOOST_DESCRIBE_STRUCT(RequestArrived, (), (request, http, attempt, object))
 
 /** The caller closed its connection before the answer. */
 struct CallerGone {
@@ -64,9 +72,14 @@
   std::string service;
   /** IPv4 number of the caller. */
   std::string client_address;
+  /** Where the caller is, if it says so itself. */
+  RegionName region;
+  ZoneName zone;
   friend bool operator==(const LookupArrived&, const LookupArrived&) = default;
 };
-BOOST_DESCRIBE_STRUCT(LookupArrived, (), (request, service, client_address))
+BOOST_DESCRIBE_STRUCT(LookupArrived,
+                      (),
+                      (request, service, client_address, region, zone))
 
 /** An authenticated operator sent a command. The driver waits for
  * AnswerOperator with the same id. */
@@ -140,10 +153,27 @@
 struct ConnectionLost {
   static constexpr std::string_view kName = "connection_lost";
   ConnectionId connection;
+  /** No byte of the request that it was to carry has been written. */
+  bool unwritten = false;
   friend bool operator==(const ConnectionLost&,
                          const ConnectionLost&) = default;
 };
-BOOST_DESCRIBE_STRUCT(ConnectionLost, (), (connection))
+BOOST_DESCRIBE_STRUCT(ConnectionLost, (), (connection, unwritten))
+
+/** What an upstream says of its own load in an answer. */
+struct UpstreamLoadReport {
+  std::int32_t running = 0;
+  std::int32_t waiting = 0;
+  std::int32_t slots = 0;
+  /** How long work takes on its machine at this moment, as a share of the usual
+   * time in hundredths. */
+  std::int32_t work_time_percent = 100;
+  friend bool operator==(const UpstreamLoadReport&,
+                         const UpstreamLoadReport&) = default;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLoadReport,
+                      (),
+                      (running, waiting, slots, work_time_percent))
 
 /** A whole answer came on a connection. */
 struct UpstreamAnswered {
@@ -154,14 +184,26 @@
   bool keep_alive = true;
   /** The answer has `X-Draining: true`. */
   bool draining = false;
-  /** The answer is a 503 with `X-Not-Executed: true`. */
+  /** The upstream says that it didn't execute the request. */
   bool not_executed = false;
+  /** Another upstream than the expected one has the address. */
+  bool wrong_upstream = false;
+  std::optional<UpstreamLoadReport> load;
+  /** The upstream closes the connection after this much idle time. */
+  std::optional<Duration> idle_limit;
   friend bool operator==(const UpstreamAnswered&,
                          const UpstreamAnswered&) = default;
 };
 BOOST_DESCRIBE_STRUCT(UpstreamAnswered,
                       (),
-                      (connection, answer, keep_alive, draining, not_executed))
+                      (connection,
+                       answer,
+                       keep_alive,
+                       draining,
+                       not_executed,
+                       wrong_upstream,
+                       load,
+                       idle_limit))
 
 /** Answer to ProbeUpstream. */
 struct ProbeCompleted {
@@ -186,6 +228,15 @@
 };
 BOOST_DESCRIBE_STRUCT(StopRequested, (), ())
 
+/** What a settings file may change while the process runs. */
+struct SettingsReloaded {
+  static constexpr std::string_view kName = "settings_reloaded";
+  DispatchSettings dispatch;
+  friend bool operator==(const SettingsReloaded&,
+                         const SettingsReloaded&) = default;
+};
+BOOST_DESCRIBE_STRUCT(SettingsReloaded, (), (dispatch))
+
 using Event = std::variant<Started,
                            Tick,
                            RequestArrived,
@@ -199,7 +250,8 @@
                            ConnectionLost,
                            UpstreamAnswered,
                            ProbeCompleted,
-                           StopRequested>;
+                           StopRequested,
+                           SettingsReloaded>;
 
 }  // namespace kumquatcove
 
--- a/src/protocol/store_operation.h
+++ b/src/protocol/store_operation.h
@@ -11,6 +11,7 @@
 
 #include <boost/describe/class.hpp>
 
+#include "base/clock_reading.h"
 #include "base/enum_table.h"
 
 namespace kumquatcove {
@@ -21,9 +22,12 @@
   std::string key;
   std::int64_t version = 0;
   std::string value;
+  /** The row is gone; `version` is that of its removal. Set in replies to
+   * StoreWatch only. */
+  bool deleted = false;
   friend bool operator==(const StoreRow&, const StoreRow&) = default;
 };
-BOOST_DESCRIBE_STRUCT(StoreRow, (), (key, version, value))
+BOOST_DESCRIBE_STRUCT(StoreRow, (), (key, version, value, deleted))
 
 /** Requires that the row has `version`; 0 requires that it doesn't exist. */
 struct StoreCondition {
@@ -60,13 +64,26 @@
 };
 BOOST_DESCRIBE_STRUCT(StoreRead, (), (keys))
 
-/** Reads all rows whose key starts with `prefix`. */
+/** Reads the rows whose key starts with `prefix` and comes after `after`, which
+ * is empty for all. */
 struct StoreScan {
   static constexpr std::string_view kName = "scan";
   std::string prefix;
+  std::string after;
   friend bool operator==(const StoreScan&, const StoreScan&) = default;
 };
-BOOST_DESCRIBE_STRUCT(StoreScan, (), (prefix))
+BOOST_DESCRIBE_STRUCT(StoreScan, (), (prefix, after))
+
+/** Waits until a row whose key starts with `prefix` has changed since version
+ * `since`, for `patience` at most. */
+struct StoreWatch {
+  static constexpr std::string_view kName = "watch";
+  std::string prefix;
+  std::int64_t since = 0;
+  Duration patience{0};
+  friend bool operator==(const StoreWatch&, const StoreWatch&) = default;
+};
+BOOST_DESCRIBE_STRUCT(StoreWatch, (), (prefix, since, patience))
 
 /** Runs transactions that don't depend on each other in one write; each commits
  * or conflicts by itself. */
@@ -95,7 +112,12 @@
 BOOST_DESCRIBE_STRUCT(ObjectPut, (), (key, content))
 
 using StoreOperation =
-    std::variant<StoreRead, StoreScan, StoreWrite, ObjectGet, ObjectPut>;
+    std::variant<StoreRead,
+                                    StoreScan,
+                                    StoreWatch,
+                                    StoreWrite,
+                                    ObjectGet,
+                                    ObjectPut>;
 
 /** How an operation ended, as far as this instance can tell. */
 enum class StoreStatus {
@@ -105,12 +127,17 @@
   /** No reply: the operation may have taken effect, or may take effect later.
    */
   kUnknown,
+  /** The changes that a StoreWatch asks for are no longer known; the rows must
+   * be read again. */
+  kHistoryLost,
 };
 
 constexpr auto EnumNames(StoreStatus) {
   return std::array{EnumName<StoreStatus>{StoreStatus::kOk, "ok"},
                     EnumName<StoreStatus>{StoreStatus::kRefused, "refused"},
-                    EnumName<StoreStatus>{StoreStatus::kUnknown, "unknown"}};
+                    EnumName<StoreStatus>{StoreStatus::kUnknown, "unknown"},
+                    EnumName<StoreStatus>{StoreStatus::kHistoryLost,
+                                          "history-lost"}};
 }
 
 /** Result of one transaction; `rows` holds the rows of its conditions as they
@@ -127,15 +154,22 @@
  * are empty unless the status is kOk. */
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnknown;
-  /** Of StoreRead, in the order asked, and of StoreScan, sorted by key. */
+  /** Of StoreRead, in the order asked, of StoreScan, sorted by key, and of
+   * StoreWatch, in the order of the changes. */
   std::vector<StoreRow> rows;
+  /** There are more rows for a StoreScan after the last one of `rows`. */
+  bool more = false;
+  /** Newest version that the rows of a StoreScan or StoreWatch reflect. */
+  std::int64_t version = 0;
   /** Of StoreWrite, in the order given. */
   std::vector<StoreTransactionResult> results;
   /** Of ObjectGet; nothing if there is no such object. */
   std::optional<std::string> object;
   friend bool operator==(const StoreReply&, const StoreReply&) = default;
 };
-BOOST_DESCRIBE_STRUCT(StoreReply, (), (status, rows, results, object))
+BOOST_DESCRIBE_STRUCT(StoreReply,
+                      (),
+                      (status, rows, more, version, results, object))
 
 }  // namespace kumquatcove
 
--- /dev/null
+++ b/src/registry/entry_presence.cc
@@ -0,0 +1,177 @@
+#include "registry/entry_presence.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json/serialize.hpp>
+
+#include "base/json_codec.h"
+
+namespace kumquatcove {
+namespace {
+
+constexpr Duration kRegistrationTimeout = Seconds(2);
+constexpr Duration kRegistrationRetry = Milliseconds(500);
+
+// A caller that has one address only is stuck until its answer expires if that
+// instance fails.
+constexpr std::size_t kMinAddresses = 2;
+// The greatest number of addresses that callers accept in one answer.
+constexpr std::size_t kMaxAddresses = 64;
+
+}  // namespace
+
+EntryPresence::EntryPresence(std::string key_prefix)
+    : m_key_prefix(std::move(key_prefix)) {}
+
+void EntryPresence::SetPhase(Context& context, InstancePhase phase) {
+  if (m_phase == phase) {
+    return;
+  }
+  m_phase = phase;
+  context.Record("phase_changed", context.Self().instance.Text(),
+                 {{"phase", std::string(ToString(phase))}});
+  SendHeartbeats(context);
+}
+
+void EntryPresence::OnRegistered(Context& context,
+                                 const EntryRegistration& entry) {
+  if (entry.instance == context.Self().instance) {
+    return;
+  }
+  const bool known = m_entries.contains(entry.instance);
+  m_entries[entry.instance].registration = entry;
+  if (!known) {
+    context.Record("entry_registered", entry.instance.Text(),
+                   {{"zone", entry.zone.Text()},
+                    {"address", entry.caller_address}});
+    m_next_heartbeat = context.Now();
+  }
+}
+
+void EntryPresence::OnGone(const InstanceId& instance) {
+  m_entries.erase(instance);
+}
+
+void EntryPresence::OnHeartbeat(Context& context, const Gossip& gossip) {
+  for (const MemberRecord& record : gossip.records) {
+    if (record.instance == context.Self().instance) {
+      continue;
+    }
+    Entry& entry = m_entries[record.instance];
+    if (std::pair(record.incarnation, record.counter) <=
+        std::pair(entry.incarnation, entry.counter)) {
+      continue;
+    }
+    if (!IsUsable(context, entry) || entry.phase != record.phase) {
+      context.Record("entry_heard", record.instance.Text(),
+                     {{"phase", std::string(ToString(record.phase))}});
+    }
+    entry.registration = {record.instance, record.region, record.zone,
+                          record.caller_address, record.peer_address};
+    entry.phase = record.phase;
+    entry.incarnation = record.incarnation;
+    entry.counter = record.counter;
+    entry.heard = context.Now();
+  }
+}
+
+void EntryPresence::OnReply(Context& context,
+                            StoreRequestId id,
+                            const StoreReply& reply) {
+  if (!m_call || *m_call != id) {
+    return;
+  }
+  m_call.reset();
+  m_registered = reply.status == StoreStatus::kOk;
+  if (!m_registered) {
+    m_next_registration = context.Now() + kRegistrationRetry;
+  }
+}
+
+void EntryPresence::OnTick(Context& context) {
+  if (!m_registered && !m_call && context.Now() >= m_next_registration) {
+    Register(context);
+  }
+  if (context.Now() >= m_next_heartbeat) {
+    SendHeartbeats(context);
+  }
+}
+
+void EntryPresence::Register(Context& context) {
+  const Identity& self = context.Self();
+  const EntryRegistration registration{self.instance, self.region, self.zone,
+                                       self.caller_address, self.peer_address};
+  StoreTransaction transaction;
+  transaction.mutations.push_back(
+      {m_key_prefix + self.instance.Text(),
+       boost::json::serialize(ToJson(registration))});
+  m_call = context.CallStoreFor(StoreClientModule::kPresence,
+                                StoreWrite{{std::move(transaction)}},
+                                kRegistrationTimeout);
+}
+
+void EntryPresence::SendHeartbeats(Context& context) {
+  m_next_heartbeat = context.Now() + kHeartbeatInterval;
+  const Identity& self = context.Self();
+  Gossip gossip;
+  gossip.records.push_back({self.instance, self.incarnation, ++m_counter,
+                            self.region, self.zone, self.caller_address,
+                            self.peer_address, m_phase, 0});
+  for (const auto& [instance, entry] : m_entries) {
+    if (entry.registration.region == self.region) {
+      context.SendTo(instance, entry.registration.peer_address, gossip);
+    }
+  }
+}
+
+bool EntryPresence::IsUsable(const Context& context, const Entry& entry) const {
+  return entry.phase == InstancePhase::kServing && entry.heard &&
+         context.Now() < *entry.heard + kSilenceLimit;
+}
+
+LookupAnswer EntryPresence::Answer(const Context& context,
+                                   const ZoneName& zone,
+                                   Duration time_to_live) const {
+  std::vector<LookupEntry> near;
+  std::vector<LookupEntry> others;
+  const auto add = [&](const LookupEntry& entry) {
+    (entry.zone == zone ? near : others).push_back(entry);
+  };
+  const Identity& self = context.Self();
+  if (m_phase == InstancePhase::kServing) {
+    add({self.instance, self.zone, self.caller_address});
+  }
+  for (const auto& [instance, entry] : m_entries) {
+    if (entry.registration.region == self.region && IsUsable(context, entry)) {
+      add({instance, entry.registration.zone,
+           entry.registration.caller_address});
+    }
+  }
+  LookupAnswer answer;
+  answer.time_to_live = time_to_live;
+  answer.entries = std::move(near);
+  if (answer.entries.size() < kMinAddresses) {
+    answer.entries.insert(answer.entries.end(), others.begin(), others.end());
+  }
+  if (answer.entries.size() > kMaxAddresses) {
+    answer.entries.resize(kMaxAddresses);
+  }
+  if (answer.entries.empty()) {
+    answer.reason = RefusalReason::kNotReady;
+  }
+  return answer;
+}
+
+int EntryPresence::CountRegistered(const RegionName& region) const {
+  return 1 + static_cast<int>(std::count_if(
+                 m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+                   return entry.second.registration.region == region;
+                 }));
+}
+
+int EntryPresence::CountRegistered() const {
+  return 1 + static_cast<int>(m_entries.size());
+}
+
+}  // namespace kumquatcove
--- /dev/null
+++ b/src/registry/entry_presence.h
@@ -0,0 +1,83 @@
+#ifndef REGISTRY_ENTRY_PRESENCE_H_
+#define REGISTRY_ENTRY_PRESENCE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/context.h"
+#include "protocol/lookup.h"
+#include "protocol/peer_message.h"
+#include "registry/registry_record.h"
+
+namespace kumquatcove {
+
+/**
+ * Which entry instances are alive, and which of them a caller should use.
+ *
+ * An instance writes one row when it starts, by which the others find it, and
+ * sends a heartbeat to the instances of its own region; nothing about liveness
+ * is written to the store. Callers are given instances of the own region only,
+ * as those are the ones that are heard. Thread safety: none; owned by one
+ * reducer.
+ */
+class EntryPresence {
+ public:
+  /** Time between two heartbeats. */
+  static constexpr Duration kHeartbeatInterval = Seconds(1);
+  /** An instance that wasn't heard for this long isn't named to callers. Three
+   * heartbeats: one may be lost, and a second one late. */
+  static constexpr Duration kSilenceLimit = Milliseconds(3200);
+
+  /** `key_prefix` is the start of the keys of the table of entries. */
+  explicit EntryPresence(std::string key_prefix);
+
+  /** Changes the phase, which the others learn at once. */
+  void SetPhase(Context& context, InstancePhase phase);
+  InstancePhase Phase() const { return m_phase; }
+
+  void OnRegistered(Context& context, const EntryRegistration& entry);
+  void OnGone(const InstanceId& instance);
+  void OnHeartbeat(Context& context, const Gossip& gossip);
+  /** Takes a reply to one of its calls; others are ignored. */
+  void OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
+  void OnTick(Context& context);
+
+  /** Returns instances for a caller in `zone`, those of its availability zone
+   * first; at least two if there are. `time_to_live` bounds their use. */
+  LookupAnswer Answer(const Context& context,
+                      const ZoneName& zone,
+                      Duration time_to_live) const;
+
+  /** Returns the number of instances that are registered, alive or not, in a
+   * region or in all; at least 1. */
+  int CountRegistered(const RegionName& region) const;
+  int CountRegistered() const;
+
+ private:
+  struct Entry {
+    EntryRegistration registration;
+    InstancePhase phase = InstancePhase::kJoining;
+    std::int64_t incarnation = 0;
+    std::int64_t counter = 0;
+    std::optional<MonotonicTime> heard;
+  };
+
+  void SendHeartbeats(Context& context);
+  void Register(Context& context);
+  bool IsUsable(const Context& context, const Entry& entry) const;
+
+  std::string m_key_prefix;
+  InstancePhase m_phase = InstancePhase::kJoining;
+  std::map<InstanceId, Entry> m_entries;
+  std::int64_t m_counter = 0;
+  MonotonicTime m_next_heartbeat;
+  MonotonicTime m_next_registration;
+  bool m_registered = false;
+  std::optional<StoreRequestId> m_call;
+};
+
+}  // namespace kumquatcove
+
+#endif  // REGISTRY_ENTRY_PRESENCE_H_
--- /dev/null
+++ b/src/registry/registry_sync.h
@@ -0,0 +1,112 @@
+#ifndef REGISTRY_REGISTRY_SYNC_H_
+#define REGISTRY_REGISTRY_SYNC_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "protocol/context.h"
+#include "registry/registry_codec.h"
+#include "registry/registry_record.h"
+#include "registry/route_table.h"
+#include "registry/table_follower.h"
+
+namespace kumquatcove {
+
+/** A newer configuration is in force. */
+struct RoutesChanged {
+  std::shared_ptr<const RouteTable> routes;
+};
+/** An upstream has registered or has changed its row. */
+struct UpstreamRegistered {
+  UpstreamRegistration registration;
+};
+/** An upstream's row is gone. */
+struct UpstreamGone {
+  UpstreamId id;
+};
+/** An availability zone is evacuated, or taken back. */
+struct EvacuationChanged {
+  ZoneName zone;
+  bool evacuated = false;
+};
+struct EntryRegistered {
+  EntryRegistration registration;
+};
+struct EntryGone {
+  InstanceId instance;
+};
+/** An instance reports a content that was in flight at breaks. */
+struct SuspicionReported {
+  std::string reporter_key;
+  SuspicionRecord record;
+};
+
+using RegistryChange = std::variant<RoutesChanged,
+                                    UpstreamRegistered,
+                                    UpstreamGone,
+                                    EvacuationChanged,
+                                    EntryRegistered,
+                                    EntryGone,
+                                    SuspicionReported>;
+
+/**
+ * Follows the tables that describe the deployment and gives the changes.
+ *
+ * Versions of the configuration never go back. While the store is away the last
+ * state holds: upstreams can't renew their rows then, so a row that lapsed
+ * during an outage, or within kReturnTime after it, counts as gone only once
+ * kReturnTime has passed. Thread safety: none; owned by one reducer.
+ */
+class RegistrySync {
+ public:
+  /** Time that upstreams have to renew rows that lapsed while the store was
+   * away; the platform states about two seconds. */
+  static constexpr Duration kReturnTime = Milliseconds(2200);
+
+  /** `codec` must outlive this object. */
+  explicit RegistrySync(const RegistryCodec& codec);
+
+  /** Reads all tables, at the start or after this process stood still. */
+  void Restart(Context& context);
+  /** Takes a reply to one of its calls; others are ignored. */
+  void OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
+  void OnTick(Context& context);
+
+  /** Returns the changes since the last call, in order. */
+  std::vector<RegistryChange> TakeChanges();
+
+  /** Returns whether a configuration and the upstreams have been read. */
+  bool IsReady() const;
+
+  /** Returns whether the tables of the platform can be followed at present. */
+  bool IsStoreReachable() const;
+
+  std::shared_ptr<const RouteTable> Routes() const { return m_routes; }
+
+ private:
+  struct Visitor;
+
+  void ApplyRow(Context& context, RegistryTable table, const StoreRow& row);
+  void OnRowGone(Context& context, RegistryTable table, const StoreRow& row);
+  void OnUpstreamRowGone(Context& context, const UpstreamId& id);
+  void ExpireLapsed(Context& context);
+
+  const RegistryCodec& m_codec;
+  std::map<RegistryTable, TableFollower> m_tables;
+  std::vector<RegistryChange> m_changes;
+  std::shared_ptr<const RouteTable> m_routes;
+  /** Upstreams whose row lapsed around an outage of the store. */
+  std::map<UpstreamId, MonotonicTime> m_lapsed;
+  /** Start and sequence of the newest row of each upstream: a write that was
+   * delayed must not undo a later one. */
+  std::map<UpstreamId, std::pair<std::int64_t, std::int64_t>> m_newest;
+  bool m_has_routes = false;
+};
+
+}  // namespace kumquatcove
+
+#endif  // REGISTRY_REGISTRY_SYNC_H_
--- /dev/null
+++ b/src/registry/table_follower.cc
@@ -0,0 +1,161 @@
+#include "registry/table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatcove {
+namespace {
+
+// Calls are priced, so that a watch lasts long; a silent connection is found by
+// keep-alive probes long before.
+constexpr Duration kWatchPatience = Seconds(25);
+// Longest time that a reply may take after the patience of a watch, or after a
+// read was sent, while the store is slow.
+constexpr Duration kReplyMargin = Seconds(2);
+constexpr Duration kFirstRetryDelay = Milliseconds(100);
+constexpr Duration kMaxRetryDelay = Milliseconds(800);
+// Retries double up to the maximum after this many.
+constexpr int kMaxDoublings = 3;
+
+}  // namespace
+
+void TableFollower::Restart(Context& context) {
+  m_scanning = true;
+  m_scan.clear();
+  m_scan_after.clear();
+  m_call.reset();
+  m_due = context.Now();
+  Call(context);
+}
+
+bool TableFollower::OnReply(Context& context,
+                            StoreRequestId id,
+                            const StoreReply& reply) {
+  if (!m_call || *m_call != id) {
+    return false;
+  }
+  m_call.reset();
+  if (reply.status != StoreStatus::kOk) {
+    OnFailed(context, reply.status);
+    return true;
+  }
+  if (m_failures > 0) {
+    m_regained = context.Now();
+    context.Record("store_regained", m_prefix,
+                   {{"failures", std::to_string(m_failures)}});
+    m_failures = 0;
+  }
+  if (m_scanning) {
+    OnScanned(context, reply);
+  } else {
+    OnWatched(context, reply);
+  }
+  return true;
+}
+
+void TableFollower::OnScanned(Context& context, const StoreReply& reply) {
+  if (m_scan_after.empty()) {
+    m_scan_version = reply.version;
+  }
+  for (const StoreRow& row : reply.rows) {
+    m_scan[row.key] = row;
+  }
+  if (reply.more && !reply.rows.empty()) {
+    m_scan_after = reply.rows.back().key;
+    Call(context);
+    return;
+  }
+  std::vector<StoreRow> gone;
+  for (const auto& [key, row] : m_rows) {
+    if (!m_scan.contains(key)) {
+      gone.push_back({key, m_scan_version, "", true});
+    }
+  }
+  for (const StoreRow& row : gone) {
+    Apply(row);
+  }
+  for (const auto& [key, row] : m_scan) {
+    Apply(row);
+  }
+  m_scan.clear();
+  m_scan_after.clear();
+  m_scanning = false;
+  m_loaded = true;
+  m_version = m_scan_version;
+  Call(context);
+}
+
+void TableFollower::OnWatched(Context& context, const StoreReply& reply) {
+  for (const StoreRow& row : reply.rows) {
+    Apply(row);
+  }
+  m_version = std::max(m_version, reply.version);
+  if (reply.rows.empty()) {
+    Call(context);
+  } else {
+    m_due = context.Now() + m_pause;
+  }
+}
+
+void TableFollower::Apply(const StoreRow& row) {
+  const auto found = m_rows.find(row.key);
+  const bool known = found != m_rows.end();
+  if (known && found->second.version >= row.version) {
+    return;
+  }
+  if (row.deleted) {
+    if (!known) {
+      return;
+    }
+    m_rows.erase(found);
+  } else {
+    m_rows[row.key] = row;
+  }
+  m_changes.push_back(row);
+}
+
+void TableFollower::OnFailed(Context& context, StoreStatus status) {
+  if (status == StoreStatus::kHistoryLost) {
+    context.Record("store_history_lost", m_prefix,
+                   {{"version", std::to_string(m_version)}});
+    Restart(context);
+    return;
+  }
+  if (m_failures == 0) {
+    context.Record("store_lost", m_prefix,
+                   {{"status", std::string(ToString(status))},
+                    {"version", std::to_string(m_version)}});
+  }
+  const int doublings = std::min(m_failures, kMaxDoublings);
+  ++m_failures;
+  const Duration delay =
+      std::min(kFirstRetryDelay * (1 << doublings), kMaxRetryDelay);
+  // Instances that lost the store together must not come back together.
+  m_due = context.Now() +
+          std::chrono::duration_cast<Duration>(
+              delay * (0.5 + context.RandomNumbers().NextFraction()));
+}
+
+void TableFollower::OnTick(Context& context) {
+  if (!m_call && context.Now() >= m_due) {
+    Call(context);
+  }
+}
+
+void TableFollower::Call(Context& context) {
+  const StoreClientModule module = StoreClientModule::kRegistry;
+  if (m_scanning) {
+    m_call = context.CallStoreFor(module, StoreScan{m_prefix, m_scan_after},
+                                  kReplyMargin);
+  } else {
+    m_call = context.CallStoreFor(
+        module, StoreWatch{m_prefix, m_version, kWatchPatience},
+        kWatchPatience + kReplyMargin);
+  }
+}
+
+std::vector<StoreRow> TableFollower::TakeChanges() {
+  return std::exchange(m_changes, {});
+}
+
+}  // namespace kumquatcove
--- /dev/null
+++ b/src/registry/table_follower.h
@@ -0,0 +1,81 @@
+#ifndef REGISTRY_TABLE_FOLLOWER_H_
+#define REGISTRY_TABLE_FOLLOWER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock_reading.h"
+#include "protocol/context.h"
+#include "protocol/store_operation.h"
+
+namespace kumquatcove {
+
+/**
+ * Keeps a copy of one table of the store: reads all rows, then watches for
+ * changes, and reads again when the history was lost.
+ *
+ * Thread safety: none; owned by one reducer.
+ */
+class TableFollower {
+ public:
+  /** Follows the rows whose key starts with `prefix`. After a change the next
+   * watch starts only `pause` later, so that one call takes a burst. */
+  TableFollower(std::string prefix, Duration pause)
+      : m_prefix(std::move(prefix)), m_pause(pause) {}
+
+  /** Starts, or reads all rows again, for instance after this process stood
+   * still. A reply to an earlier call is ignored. */
+  void Restart(Context& context);
+
+  /** Takes a reply; returns false if it belongs to another caller. */
+  bool OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
+
+  /** Starts calls that are due. */
+  void OnTick(Context& context);
+
+  /** Returns the changed rows since the last call, in order; `deleted` marks
+   * those that are gone. */
+  std::vector<StoreRow> TakeChanges();
+
+  /** Returns whether all rows have been read once. */
+  bool IsLoaded() const { return m_loaded; }
+
+  /** Returns whether the last call failed. */
+  bool IsLost() const { return m_failures > 0; }
+
+  /** Returns the time since which a failed call has been followed by an answer;
+   * nothing if none has failed yet. */
+  std::optional<MonotonicTime> RegainedAt() const { return m_regained; }
+
+  const std::map<std::string, StoreRow>& Rows() const { return m_rows; }
+
+ private:
+  void Call(Context& context);
+  void OnScanned(Context& context, const StoreReply& reply);
+  void OnWatched(Context& context, const StoreReply& reply);
+  void OnFailed(Context& context, StoreStatus status);
+  void Apply(const StoreRow& row);
+
+  std::string m_prefix;
+  Duration m_pause;
+  std::map<std::string, StoreRow> m_rows;
+  std::vector<StoreRow> m_changes;
+  /** Rows of the scan in progress. */
+  std::map<std::string, StoreRow> m_scan;
+  std::string m_scan_after;
+  std::int64_t m_scan_version = 0;
+  bool m_scanning = true;
+  bool m_loaded = false;
+  std::int64_t m_version = 0;
+  std::optional<StoreRequestId> m_call;
+  /** When to call next, if no call runs. */
+  MonotonicTime m_due;
+  int m_failures = 0;
+  std::optional<MonotonicTime> m_regained;
+};
+
+}  // namespace kumquatcove
+
+#endif  // REGISTRY_TABLE_FOLLOWER_H_
--- a/src/runtime/caller_api.h
+++ b/src/runtime/caller_api.h
@@ -2,6 +2,7 @@
 #define RUNTIME_CALLER_API_H_
 
 #include <string>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -10,14 +11,12 @@
 #include "runtime/http_handler.h"
 #include "runtime/io_thread.h"
 #include "runtime/metrics.h"
+#include "runtime/platform_dialect.h"
 #include "runtime/request_numbers.h"
 #include "runtime/request_server.h"
 
 namespace kumquatcove {
 
-/** Returns the HTTP status by which a caller is told `reason`. */
-std::int32_t StatusOfReason(RefusalReason reason);
-
 /**
  * HTTP interface for callers: lookups, and requests that are to be steered.
  *
@@ -31,11 +30,12 @@
             EventSink& events,
             Metrics& metrics,
             RequestNumbers& numbers,
+            CallerDialect dialect,
             Duration link_delay);
 
-  /** Sets the server that answers are given to; called once before requests
-   * arrive. */
-  void SetServer(RequestServer& server) { m_server = &server; }
+  /** Adds a server that passes requests on to this object and gets the answers;
+   * called before requests arrive. */
+  void AddServer(RequestServer& server) { m_servers.push_back(&server); }
 
   void OnRequest(ServedRequest request) override;
   void OnGone(ExchangeId exchange) override;
@@ -54,20 +54,21 @@
     bool is_lookup = false;
   };
 
-  void OnLookup(const ServedRequest& request);
   void OnSteeredRequest(ServedRequest request);
   RequestId Enter(ExchangeId exchange, std::string service, bool is_lookup);
   /** Removes the request; false if it isn't pending. */
   bool Take(RequestId request, Pending& pending);
   void PostDelayed(Event event);
   void Answer(ExchangeId exchange, HttpAnswer answer);
+  void AnswerNow(ExchangeId exchange, HttpAnswer answer);
 
   IoThread& m_io;
   EventSink& m_events;
   Metrics& m_metrics;
   RequestNumbers& m_numbers;
+  CallerDialect m_dialect;
   Duration m_link_delay;
-  RequestServer* m_server = nullptr;
+  std::vector<RequestServer*> m_servers;
   absl::flat_hash_map<RequestId, Pending> m_pending;
   absl::flat_hash_map<std::uint64_t, RequestId> m_requests;
 };
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -1,5 +1,6 @@
 #include "runtime/daemon.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <functional>
@@ -20,6 +21,7 @@
 #include "runtime/metrics.h"
 #include "runtime/operator_api.h"
 #include "runtime/peer_transport.h"
+#include "runtime/readiness_api.h"
 #include "runtime/request_server.h"
 #include "runtime/store_client.h"
 #include "runtime/upstream_client.h"
@@ -32,6 +34,9 @@
 constexpr Duration kExitGrace = Milliseconds(200);
 constexpr Duration kMetricsInterval = Seconds(1);
 constexpr int kSecondSignalStatus = 130;
+/** Callers that use a connection up to its idle timeout must not meet its end.
+ */
+constexpr Duration kIdleMargin = Seconds(2);
 
 /** Passes events on to an actor while there is one; others are dropped. */
 class LateEventSink : public EventSink {
@@ -101,23 +106,45 @@
  public:
   Implementation(const Settings& settings,
                  std::int64_t incarnation,
-                 ReduceFunction reduce)
+                 ReduceFunction reduce,
+                 const PlatformDialect& dialect)
       : m_delays(settings.zone, settings.emulation),
         m_numbers(settings.instance, incarnation),
-        m_callers(m_io, m_events, m_metrics, m_numbers, m_delays.ToCaller()),
+        m_callers(m_io,
+                  m_events,
+                  m_metrics,
+                  m_numbers,
+                  dialect.callers,
+                  m_delays.ToCaller()),
         m_operators(m_events, m_metrics, m_numbers, settings.operators),
         m_caller_server(m_io, settings.caller_address, {}, m_callers),
         m_operator_server(m_io, settings.operator_address, {}, m_operators),
-        m_upstreams(m_io, m_events, m_delays),
-        m_store(m_io, m_events, m_delays, m_metrics, settings.platform_address),
+        m_upstreams(m_io, m_events, m_delays, dialect.upstreams),
+        m_store(m_io,
+                m_events,
+                m_delays,
+                m_metrics,
+                dialect.store,
+                settings.platform_address),
         m_peer_events(m_io, m_events, m_delays),
         m_dispatcher(m_io),
-        m_signals(m_io.Context(), SIGTERM, SIGINT) {
-    m_callers.SetServer(m_caller_server);
+        m_signals(m_io.Context(), SIGTERM, SIGINT, SIGHUP) {
+    m_callers.AddServer(m_caller_server);
     m_operators.SetServer(m_operator_server);
+    if (settings.registered) {
+      m_lookup_server.emplace(m_io, settings.registered->lookup_address,
+                              RequestServerLimits{}, m_callers);
+      m_callers.AddServer(*m_lookup_server);
+      m_readiness_server.emplace(m_io, settings.registered->readiness_address,
+                                 RequestServerLimits{}, m_readiness);
+      m_readiness.SetServer(*m_readiness_server);
+    }
     m_peers.emplace(PeerSettings(settings), m_peer_events);
-    m_dispatcher.SetAdapters({&m_callers, &m_operators, &m_upstreams, &m_store,
-                              &*m_peers, [this] { OnExit(); }});
+    m_dispatcher.SetAdapters(
+        {&m_callers, &m_operators, &m_upstreams, &m_store, &*m_peers,
+         [this](const SetReadiness& effect) { m_readiness.Carry(effect); },
+         [this](const SetCallerLimits& effect) { Carry(effect); },
+         [this] { OnExit(); }});
     m_actor.emplace(std::move(reduce), m_dispatcher);
     m_actor->Post(Started{});
     if (settings.seeds) {
@@ -137,6 +164,10 @@
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
+  void SetReload(std::function<void(EventSink&)> reload) {
+    m_reload = std::move(reload);
+  }
+
   int Run() {
     std::future<int> status = m_exit.get_future();
     WaitForSignal();
@@ -175,6 +206,14 @@
           if (error) {
             return;
           }
+          if (signal == SIGHUP) {
+            LogInfo(LogLine("reload_requested"));
+            if (m_reload) {
+              m_reload(*m_actor);
+            }
+            WaitForSignal();
+            return;
+          }
           if (std::exchange(m_stop_requested, true)) {
             LogError(LogLine("second_signal").Add("signal", signal));
             std::_Exit(kSecondSignalStatus);
@@ -185,6 +224,18 @@
         });
   }
 
+  void Carry(const SetCallerLimits& effect) {
+    RequestServerLimits limits;
+    limits.max_header_bytes =
+        static_cast<std::size_t>(effect.max_header_bytes);
+    limits.max_body_bytes = static_cast<std::size_t>(effect.max_body_bytes);
+    limits.idle = std::max(limits.idle, effect.idle + kIdleMargin);
+    m_caller_server.SetLimits(limits);
+    if (effect.closing) {
+      m_caller_server.CloseAfterAnswers();
+    }
+  }
+
   void OnExit() {
     if (std::exchange(m_exiting, true)) {
       return;
@@ -202,6 +253,9 @@
   OperatorApi m_operators;
   RequestServer m_caller_server;
   RequestServer m_operator_server;
+  ReadinessApi m_readiness;
+  std::optional<RequestServer> m_lookup_server;
+  std::optional<RequestServer> m_readiness_server;
   UpstreamClient m_upstreams;
   StoreClient m_store;
   PeerEvents m_peer_events;
@@ -212,17 +266,24 @@
   std::promise<int> m_exit;
   bool m_stop_requested = false;
   bool m_exiting = false;
+  std::function<void(EventSink&)> m_reload;
 };
 
 Daemon::Daemon(const Settings& settings,
                std::int64_t incarnation,
-               ReduceFunction reduce)
+               ReduceFunction reduce,
+               const PlatformDialect& dialect)
     : m_implementation(std::make_unique<Implementation>(settings,
                                                         incarnation,
-                                                        std::move(reduce))) {}
+                                                        std::move(reduce),
+                                                        dialect)) {}
 
 Daemon::~Daemon() = default;
 
+void Daemon::SetReload(std::function<void(EventSink&)> reload) {
+  m_implementation->SetReload(std::move(reload));
+}
+
 int Daemon::Run() {
   return m_implementation->Run();
 }
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -1,9 +1,12 @@
 #ifndef RUNTIME_DAEMON_H_
 #define RUNTIME_DAEMON_H_
 
+#include <functional>
 #include <memory>
 
+#include "runtime/event_sink.h"
 #include "runtime/node_actor.h"
+#include "runtime/platform_dialect.h"
 #include "runtime/settings.h"
 
 namespace kumquatcove {
@@ -19,15 +22,20 @@
    * Binds all ports and starts.
    *
    * `reduce` decides on events. `incarnation` is the start time in wall
-   * microseconds. Throws std::runtime_error if a port can't be bound.
+   * microseconds. `dialect` says how the platform speaks. Throws std::runtime_error if a port can't be bound.
    */
   Daemon(const Settings& settings,
          std::int64_t incarnation,
-         ReduceFunction reduce);
+         ReduceFunction reduce,
+         const PlatformDialect& dialect);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
+  /** Sets what SIGHUP does; called before Run. The function runs on the
+   * IoThread and may post events. */
+  void SetReload(std::function<void(EventSink&)> reload);
+
   /**
    * Runs until the reducer's effect Exit.
    *
--- a/src/runtime/effect_dispatcher.cc
+++ b/src/runtime/effect_dispatcher.cc
@@ -51,6 +51,16 @@
   void operator()(RecordTimeline& effect) const {
     LOG(INFO) << FormatTimelineEvent(effect.event);
   }
+  void operator()(SetReadiness& effect) const {
+    if (m_adapters.set_readiness) {
+      m_adapters.set_readiness(effect);
+    }
+  }
+  void operator()(SetCallerLimits& effect) const {
+    if (m_adapters.set_caller_limits) {
+      m_adapters.set_caller_limits(effect);
+    }
+  }
   void operator()(Exit& /*effect*/) const { m_adapters.exit(); }
 
  private:
--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -1,8 +1,14 @@
 #include "runtime/http_connection.h"
 
 #include <cassert>
+#include <cerrno>
+#include <chrono>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -14,6 +20,7 @@
 
 #include "runtime/beast_message.h"
 #include "runtime/http_fields.h"
+#include "runtime/log_line.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -65,10 +72,12 @@
   void Send(const HttpRequest& request,
             const std::string& host,
             Duration timeout,
+            BelongsFunction belongs,
             AnsweredCallback callback) {
     assert(m_state == ConnectionState::kIdle);
     m_state = ConnectionState::kBusy;
     ++m_generation;
+    m_belongs = std::move(belongs);
     m_answered = std::move(callback);
     m_is_head = request.method == "HEAD";
     if (!IsValidMethod(request.method) || !IsValidTarget(request.target)) {
@@ -102,7 +111,34 @@
 
   bool IsIdle() const { return m_state == ConnectionState::kIdle; }
 
+  void EnableKeepAlive() { m_probes = true; }
+
  private:
+  void SetKeepAlive() {
+    using Seconds = std::chrono::seconds;
+    constexpr int kProbeInterval = 1;
+    constexpr int kProbes =
+        std::chrono::duration_cast<Seconds>(kSilenceLimit).count() - 1;
+    const int socket = m_stream.socket().native_handle();
+    const int on = 1;
+    const auto limit = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(kSilenceLimit)
+            .count());
+    const bool set =
+        ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeInterval,
+                     sizeof(kProbeInterval)) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeInterval,
+                     sizeof(kProbeInterval)) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes,
+                     sizeof(kProbes)) == 0 &&
+        ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                     sizeof(limit)) == 0;
+    if (!set) {
+      LogWarning(LogLine("keep_alive_unavailable").Add("error", errno));
+    }
+  }
+
   void OnConnected(const error_code& error) {
     if (m_state != ConnectionState::kOpening) {
       return;
@@ -113,6 +149,9 @@
     } else {
       error_code ignored;
       m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      if (m_probes) {
+        SetKeepAlive();
+      }
       BecomeIdle();
     }
     callback(!error);
@@ -166,11 +205,15 @@
       return;
     }
     HttpResult result;
-    result.keep_alive =
-        m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing;
+    result.keep_alive = m_parser->get().keep_alive() && m_buffer.size() == 0 &&
+                        !m_writing && !m_skipped;
     result.answer.status = static_cast<int>(m_parser->get().result_int());
     result.answer.headers = CopyHeaders(m_parser->get());
     result.answer.body = std::move(m_parser->get().body());
+    if (m_belongs && !m_belongs(result.answer)) {
+      SkipAnswer();
+      return;
+    }
     const AnsweredCallback callback = std::exchange(m_answered, nullptr);
     if (result.keep_alive) {
       BecomeIdle();
@@ -180,6 +223,18 @@
     callback(std::move(result));
   }
 
+  /** Goes on to the answer behind one that was left over from an earlier
+   * request. */
+  void SkipAnswer() {
+    const bool last = !m_parser->get().keep_alive();
+    m_skipped = true;
+    if (last) {
+      Fail();
+    } else {
+      ReadAnswer();
+    }
+  }
+
   void Fail() {
     if (m_state != ConnectionState::kBusy) {
       return;
@@ -197,8 +252,11 @@
   AnsweredCallback m_answered;
   LostCallback m_idle_lost;
   BeastRequest m_request;
+  BelongsFunction m_belongs;
   bool m_is_head = false;
   bool m_writing = false;
+  bool m_skipped = false;
+  bool m_probes = false;
   beast::flat_buffer m_buffer;
   std::optional<http::response_parser<http::string_body>> m_parser;
   /** Grows when a wait for closing is no longer of interest. */
@@ -222,8 +280,14 @@
 void HttpConnection::Send(const HttpRequest& request,
                           const std::string& host,
                           Duration timeout,
+                          BelongsFunction belongs,
                           AnsweredCallback callback) {
-  m_implementation->Send(request, host, timeout, std::move(callback));
+  m_implementation->Send(request, host, timeout, std::move(belongs),
+                         std::move(callback));
+}
+
+void HttpConnection::EnableKeepAlive() {
+  m_implementation->EnableKeepAlive();
 }
 
 void HttpConnection::OnIdleLost(LostCallback callback) {
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -31,6 +31,8 @@
   /** Gets nothing if the connection broke, timed out or sent no HTTP. */
   using AnsweredCallback = std::function<void(std::optional<HttpResult>)>;
   using LostCallback = std::function<void()>;
+  /** Returns whether an answer belongs to the request that was sent. */
+  using BelongsFunction = std::function<bool(const HttpAnswer&)>;
 
   /** Answers whose body is longer than `max_answer_bytes` count as failures. */
   explicit HttpConnection(IoThread& io,
@@ -48,14 +50,24 @@
   /**
    * Sends `request` at once and waits for the whole answer.
    *
-   * `host` is the value of the header `Host`. Preconditions: the connection is
-   * open and idle.
+   * `host` is the value of the header `Host`. An answer that doesn't belong to
+   * the request is skipped, and the connection isn't kept after that; without
+   * `belongs` all do. Preconditions: the connection is open and idle.
    */
   void Send(const HttpRequest& request,
             const std::string& host,
             Duration timeout,
+            BelongsFunction belongs,
             AnsweredCallback callback);
 
+  /** Lets the kernel probe the server while nothing is received, so that a
+   * connection that went silent is lost within kSilenceLimit. Called before
+   * Open. */
+  void EnableKeepAlive();
+
+  /** Time after which a silent connection with probes is lost. */
+  static constexpr Duration kSilenceLimit = Seconds(3);
+
   /** Sets the function that is called when the server closes the connection
    * while it is idle. */
   void OnIdleLost(LostCallback callback);
--- a/src/runtime/http_fields.cc
+++ b/src/runtime/http_fields.cc
@@ -110,6 +110,25 @@
   return {};
 }
 
+std::string EscapeQuery(std::string_view text) {
+  static constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string escaped;
+  for (const char c : text) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+                       c == '.' || c == '~';
+    if (plain) {
+      escaped += c;
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      escaped += '%';
+      escaped += kDigits[byte >> 4U];
+      escaped += kDigits[byte & 0xfU];
+    }
+  }
+  return escaped;
+}
+
 std::string_view PathOfTarget(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -78,6 +78,8 @@
   RequestServerLimits limits;
   HttpHandler* handler = nullptr;
   std::size_t connections = 0;
+  /** Connections end with their next answer. */
+  bool closing = false;
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> waiting;
 };
 
@@ -121,7 +123,8 @@
     ++m_generation;
     m_exchange = 0;
     m_stream.expires_after(m_state->limits.idle);
-    Write(std::move(answer), m_parser->get().keep_alive());
+    Write(std::move(answer),
+          m_parser->get().keep_alive() && !m_state->closing);
   }
 
  private:
@@ -322,6 +325,10 @@
     session->Answer(std::move(answer));
   }
 
+  void SetLimits(RequestServerLimits limits) { m_state->limits = limits; }
+
+  void CloseAfterAnswers() { m_state->closing = true; }
+
   /** Releases the sessions that wait; they and the state refer to each other.
    */
   void DropWaiting() {
@@ -388,6 +395,14 @@
   m_implementation->Answer(exchange, std::move(answer));
 }
 
+void RequestServer::SetLimits(RequestServerLimits limits) {
+  m_implementation->SetLimits(limits);
+}
+
+void RequestServer::CloseAfterAnswers() {
+  m_implementation->CloseAfterAnswers();
+}
+
 std::uint16_t RequestServer::Port() const {
   return m_implementation->Port();
 }
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -24,8 +24,8 @@
  * HTTP/1.1 server on one port.
  *
  * A connection carries one request at a time; each gets exactly one answer.
- * Thread safety: the constructor may run on any thread, Answer only on the
- * IoThread. The IoThread must be stopped before this object is destroyed.
+ * Thread safety: the constructor may run on any thread, all other functions only
+ * on the IoThread. The IoThread must be stopped before this object is destroyed.
  */
 class RequestServer {
  public:
@@ -46,6 +46,12 @@
    */
   void Answer(ExchangeId exchange, HttpAnswer answer);
 
+  /** Sets what clients may send from the next request on. */
+  void SetLimits(RequestServerLimits limits);
+
+  /** Closes each connection with its next answer from now on. */
+  void CloseAfterAnswers();
+
   /** Returns the port that was bound. */
   std::uint16_t Port() const;
 
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <sstream>
 
+#include <absl/strings/str_cat.h>
 #include <boost/json/parse.hpp>
 
 #include "runtime/network_address.h"
@@ -76,6 +77,15 @@
     }
   }
 
+  void Number(const std::string& path,
+              double value,
+              double min,
+              double max) const {
+    if (!(value >= min && value <= max)) {
+      Fail(path, absl::StrCat(value), absl::StrCat(min, " to ", max));
+    }
+  }
+
   void Delay(const std::string& path, std::int64_t value) const {
     if (value < 0 || value > kMaxDelayMicroseconds) {
       Fail(path, std::to_string(value), "0 to 1000000");
@@ -132,6 +142,29 @@
   }
 }
 
+void CheckRegistered(const Checker& checker,
+                     const RegisteredSettings& registered) {
+  const std::string path = "$.registered";
+  checker.Address(path + ".lookup_address", registered.lookup_address, false);
+  checker.Address(path + ".readiness_address", registered.readiness_address,
+                  false);
+  const DispatchSettings& limits = registered.limits;
+  checker.Count(path + ".limits.zones", limits.zones.size(), kMaxZones);
+  const auto check = [&](const char* name, double value, double min,
+                         double max) {
+    checker.Number(path + ".limits." + name, value, min, max);
+  };
+  check("resend_ratio", limits.resend_ratio, 0, 10);
+  check("resend_extra", limits.resend_extra, 0, 1e6);
+  check("resend_window_s", limits.resend_window_s, 0.1, 3600);
+  check("grace_s", limits.grace_s, 0.5, 3600);
+  check("max_lookup_ttl_s", limits.max_lookup_ttl_s, 0.1, 3600);
+  check("configuration_s", limits.configuration_s, 0.1, 3600);
+  check("max_region_shift", limits.max_region_shift, 0, 1);
+  check("zone_crossing_cost_s", limits.zone_crossing_cost_s, 0, 60);
+  check("region_crossing_cost_s", limits.region_crossing_cost_s, 0, 60);
+}
+
 void Check(const Checker& checker, const Settings& settings) {
   checker.Name("$.instance", settings.instance.Text());
   checker.Name("$.region", settings.region.Text());
@@ -147,6 +180,9 @@
   if (settings.emulation) {
     CheckEmulation(checker, *settings.emulation);
   }
+  if (settings.registered) {
+    CheckRegistered(checker, *settings.registered);
+  }
 }
 
 }  // namespace
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -15,6 +15,7 @@
 #include "base/enum_table.h"
 #include "base/json_codec.h"
 #include "base/name.h"
+#include "protocol/dispatch_settings.h"
 #include "routing/routing_settings.h"
 
 namespace kumquatcove {
@@ -80,6 +81,22 @@
                     EnumName<LogLevel>{LogLevel::kError, "error"}};
 }
 
+/** Further settings of an instance on a deployment whose platform keeps the
+ * routes and registers the upstreams. */
+struct RegisteredSettings {
+  /** IP number and port for look-ups of callers. */
+  std::string lookup_address;
+  /** IP number and port where the platform asks whether this instance takes
+   * requests. */
+  std::string readiness_address;
+  DispatchSettings limits;
+  friend bool operator==(const RegisteredSettings&,
+                         const RegisteredSettings&) = default;
+};
+BOOST_DESCRIBE_STRUCT(RegisteredSettings,
+                      (),
+                      (lookup_address, readiness_address, limits))
+
 /** Settings of one daemon. */
 struct Settings {
   InstanceId instance;
@@ -94,6 +111,7 @@
   std::vector<OperatorSettings> operators;
   std::optional<EmulationSettings> emulation;
   std::optional<LogLevel> log_level;
+  std::optional<RegisteredSettings> registered;
   friend bool operator==(const Settings&, const Settings&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Settings,
@@ -109,7 +127,8 @@
                        routing,
                        operators,
                        emulation,
-                       log_level))
+                       log_level,
+                       registered))
 
 /** Parses and checks settings. `file` is the name used in errors. Throws
  * SettingsError. */
--- a/src/runtime/store_client.cc
+++ b/src/runtime/store_client.cc
@@ -9,13 +9,14 @@
 
 #include "base/json_codec.h"
 #include "runtime/log_line.h"
-#include "runtime/store_codec.h"
 
 namespace kumquatcove {
 
 namespace {
 
 constexpr Duration kListTimeout = Seconds(2);
+/** A store that doesn't accept a connection by then is away. */
+constexpr Duration kConnectTimeout = Seconds(1);
 constexpr std::int32_t kOk = 200;
 /** Calls that run at one time; the reducer's own limits are far below. */
 constexpr std::size_t kMaxCalls = 512;
@@ -53,11 +54,13 @@
                          EventSink& events,
                          const LinkDelays& delays,
                          Metrics& metrics,
+                         StoreDialect dialect,
                          std::string platform_address)
     : m_io(io),
       m_events(events),
       m_delays(delays),
       m_metrics(metrics),
+      m_dialect(std::move(dialect)),
       m_address(std::move(platform_address)) {}
 
 StoreClient::~StoreClient() = default;
@@ -70,13 +73,13 @@
     return;
   }
   auto call = std::make_unique<PlatformCall>();
-  call->request = EncodeStoreOperation(effect.operation);
+  call->request = m_dialect.write_operation(effect.operation);
   call->timeout = effect.timeout;
   call->done = [this, id = effect.id, operation = std::move(effect.operation)](
                    const std::optional<HttpAnswer>& answer) {
     StoreReply reply;
     if (answer) {
-      reply = DecodeStoreReply(operation, *answer);
+      reply = m_dialect.read_reply(operation, *answer);
     }
     m_metrics.Add("store_replies_" + std::string(ToString(reply.status)) +
                   "_total");
@@ -135,7 +138,8 @@
     return;
   }
   call.connection = std::make_unique<HttpConnection>(m_io, kMaxReplyBytes);
-  call.connection->Open(m_address, call.timeout, [this, number](bool opened) {
+  call.connection->EnableKeepAlive();
+  call.connection->Open(m_address, std::min(call.timeout, kConnectTimeout), [this, number](bool opened) {
     if (opened) {
       Write(number);
     } else {
@@ -146,7 +150,7 @@
 
 void StoreClient::Write(std::uint64_t number) {
   PlatformCall& call = *m_calls[number];
-  call.connection->Send(call.request, m_address, call.timeout,
+  call.connection->Send(call.request, m_address, call.timeout, nullptr,
                         [this, number](std::optional<HttpResult> result) {
                           Finish(number, std::move(result));
                         });
--- a/src/runtime/store_client.h
+++ b/src/runtime/store_client.h
@@ -15,6 +15,7 @@
 #include "runtime/io_thread.h"
 #include "runtime/link_delays.h"
 #include "runtime/metrics.h"
+#include "runtime/platform_dialect.h"
 
 namespace kumquatcove {
 
@@ -32,6 +33,7 @@
               EventSink& events,
               const LinkDelays& delays,
               Metrics& metrics,
+              StoreDialect dialect,
               std::string platform_address);
   ~StoreClient();
   StoreClient(const StoreClient&) = delete;
@@ -58,6 +60,7 @@
   EventSink& m_events;
   const LinkDelays& m_delays;
   Metrics& m_metrics;
+  StoreDialect m_dialect;
   std::string m_address;
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<PlatformCall>> m_calls;
   std::deque<std::unique_ptr<HttpConnection>> m_idle;
--- a/src/runtime/store_codec.cc
+++ b/src/runtime/store_codec.cc
@@ -145,6 +145,12 @@
                      {"range_end", Base64(EndOfPrefix(scan.prefix))}});
   }
 
+  /** A watch is a scan that answers at once; the emulated table has no
+   * history. */
+  HttpRequest operator()(const StoreWatch& watch) const {
+    return (*this)(StoreScan{watch.prefix, ""});
+  }
+
   HttpRequest operator()(const StoreWrite& write) const {
     json::array success;
     for (const StoreTransaction& transaction : write.transactions) {
@@ -311,6 +317,10 @@
         [](const StoreRow& a, const StoreRow& b) { return a.key < b.key; });
   }
 
+  void operator()(const StoreWatch& watch) const {
+    (*this)(StoreScan{watch.prefix, ""});
+  }
+
   void operator()(const StoreWrite& write) const {
     const json::value document = Parse();
     const json::array& responses = ArrayMember(ToObject(document), "responses");
--- a/src/runtime/system_clock.cc
+++ b/src/runtime/system_clock.cc
@@ -1,12 +1,18 @@
 #include "runtime/system_clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace kumquatcove {
 
 ClockReading ReadSystemClock() {
+  // Unlike CLOCK_MONOTONIC this clock also counts the time that the machine is
+  // suspended, so that deadlines pass meanwhile.
+  timespec boot_time{};
+  clock_gettime(CLOCK_BOOTTIME, &boot_time);
   const auto monotonic = std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch());
+      std::chrono::seconds(boot_time.tv_sec) +
+      std::chrono::nanoseconds(boot_time.tv_nsec));
   const auto wall = std::chrono::duration_cast<Duration>(
       std::chrono::system_clock::now().time_since_epoch());
   return {MonotonicTime(monotonic), WallTime{wall.count()}};
--- a/src/runtime/upstream_client.cc
+++ b/src/runtime/upstream_client.cc
@@ -19,8 +19,9 @@
 constexpr Duration kAnswerTimeout = Seconds(70);
 constexpr Duration kProbeTimeout = Seconds(2);
 constexpr std::size_t kMaxProbes = 4096;
+/** Bounds the memory that one answer may take. */
+constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
 constexpr std::int32_t kOk = 200;
-constexpr std::int32_t kServiceUnavailable = 503;
 
 bool HasTrueHeader(const HttpAnswer& answer, std::string_view name) {
   return IsSameHeader(FindHeader(answer.headers, name), "true");
@@ -60,18 +61,6 @@
   return request;
 }
 
-HttpRequest ForUpstream(const SendUpstream& effect) {
-  HttpRequest request = effect.http;
-  const std::int64_t milliseconds =
-      std::max<std::int64_t>(effect.patience.count() / 1000, 1);
-  request.headers.push_back(
-      {"Kumquatcove-Deadline-Ms", std::to_string(milliseconds)});
-  if (!request.idempotency_key.empty()) {
-    request.headers.push_back({"Idempotency-Key", request.idempotency_key});
-  }
-  return request;
-}
-
 }  // namespace
 
 /** A probe that runs. */
@@ -85,8 +74,12 @@
 
 UpstreamClient::UpstreamClient(IoThread& io,
                                EventSink& events,
-                               const LinkDelays& delays)
-    : m_io(io), m_events(events), m_delays(delays) {}
+                               const LinkDelays& delays,
+                               UpstreamDialect dialect)
+    : m_io(io),
+      m_events(events),
+      m_delays(delays),
+      m_dialect(std::move(dialect)) {}
 
 UpstreamClient::~UpstreamClient() = default;
 
@@ -103,7 +96,7 @@
   Connection& connection = m_connections[id];
   connection.address = effect.address;
   connection.delay = m_delays.ToAddress(effect.address);
-  connection.http = std::make_unique<HttpConnection>(m_io);
+  connection.http = std::make_unique<HttpConnection>(m_io, kMaxAnswerBytes);
   // After the same delay as an answer, which must not be overtaken.
   connection.http->OnIdleLost([this, id, delay = connection.delay] {
     RunAfter(delay, [this, id] { Lose(id); });
@@ -147,7 +140,8 @@
     Lose(id);
     return;
   }
-  const HttpRequest request = ForUpstream(effect);
+  HttpRequest request = effect.http;
+  m_dialect.write_request(effect, request);
   const std::string& host =
       request.host.empty() ? connection.address : request.host;
   // The process may have been paused since the decision, so the clock is read
@@ -156,7 +150,11 @@
     Lose(id);
     return;
   }
-  connection.http->Send(request, host, kAnswerTimeout,
+  connection.written = true;
+  const auto belongs = [this, attempt = effect.attempt](const HttpAnswer& a) {
+    return m_dialect.belongs(attempt, a);
+  };
+  connection.http->Send(request, host, kAnswerTimeout, belongs,
                         [this, id](std::optional<HttpResult> r) {
                           const auto answered = m_connections.find(id);
                           RunAfter(answered->second.delay,
@@ -171,16 +169,18 @@
   if (!m_connections.contains(connection)) {
     return;
   }
-  if (!result || result->answer.body.size() > kMaxBodyBytes) {
+  if (!result) {
     Lose(connection);
     return;
   }
   UpstreamAnswered event;
   event.connection = connection;
   event.keep_alive = result->keep_alive;
-  event.draining = HasTrueHeader(result->answer, "X-Draining");
-  event.not_executed = result->answer.status == kServiceUnavailable &&
-                       HasTrueHeader(result->answer, "X-Not-Executed");
+  if (!m_dialect.read_answer(result->answer, event)) {
+    Lose(connection);
+    return;
+  }
+  m_connections[connection].written = false;
   event.answer = std::move(result->answer);
   if (!event.keep_alive) {
     m_connections.erase(connection);
@@ -193,9 +193,13 @@
 }
 
 void UpstreamClient::Lose(ConnectionId connection) {
-  if (m_connections.erase(connection) != 0) {
-    m_events.Post(ConnectionLost{connection});
+  const auto found = m_connections.find(connection);
+  if (found == m_connections.end()) {
+    return;
   }
+  const bool unwritten = !found->second.written;
+  m_connections.erase(found);
+  m_events.Post(ConnectionLost{connection, unwritten});
 }
 
 void UpstreamClient::Probe(const ProbeUpstream& effect) {
@@ -213,7 +217,7 @@
       return;
     }
     ProbeState& state = *m_probes[number];
-    state.http.Send(MakeGet("/health"), state.address, kProbeTimeout,
+    state.http.Send(MakeGet("/health"), state.address, kProbeTimeout, nullptr,
                     [this, number](const std::optional<HttpResult>& r) {
                       OnHealth(number, r);
                     });
@@ -233,7 +237,7 @@
     FinishProbe(probe);
     return;
   }
-  state.http.Send(MakeGet("/load"), state.address, kProbeTimeout,
+  state.http.Send(MakeGet("/load"), state.address, kProbeTimeout, nullptr,
                   [this, probe](const std::optional<HttpResult>& load) {
                     if (load && load->answer.status == kOk) {
                       m_probes[probe]->result.reported_load =
--- a/src/runtime/upstream_client.h
+++ b/src/runtime/upstream_client.h
@@ -14,6 +14,7 @@
 #include "runtime/http_connection.h"
 #include "runtime/io_thread.h"
 #include "runtime/link_delays.h"
+#include "runtime/platform_dialect.h"
 
 namespace kumquatcove {
 
@@ -27,7 +28,10 @@
 class UpstreamClient {
  public:
   /** All references must outlive this object. */
-  UpstreamClient(IoThread& io, EventSink& events, const LinkDelays& delays);
+  UpstreamClient(IoThread& io,
+                 EventSink& events,
+                 const LinkDelays& delays,
+                 UpstreamDialect dialect);
   ~UpstreamClient();
   UpstreamClient(const UpstreamClient&) = delete;
   UpstreamClient& operator=(const UpstreamClient&) = delete;
@@ -46,6 +50,8 @@
     std::unique_ptr<HttpConnection> http;
     std::string address;
     Duration delay{0};
+    /** Its request has been handed to the network. */
+    bool written = false;
   };
   struct ProbeState;
 
@@ -61,6 +67,7 @@
   IoThread& m_io;
   EventSink& m_events;
   const LinkDelays& m_delays;
+  UpstreamDialect m_dialect;
   absl::flat_hash_map<ConnectionId, Connection> m_connections;
   absl::flat_hash_map<std::uint64_t, std::unique_ptr<ProbeState>> m_probes;
   std::uint64_t m_probe_count = 0;
