Keep each object on three upstreams that all instances choose alike

Cause: upstreams remember a few dozen objects, and callers of each region use objects of their own, about three times as many as the placement assumed; each upstream was sent nearly all of them and forgot most, so that 35 to 40% of the sends that were expected to be fast took as long as the first one. Change: weighted rendezvous hashing over all upstreams, weighted by a plan of regions (home first, the rest where slots are spare); three upstreams an object.

--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -42,6 +42,8 @@
   /** The caller waits no longer, or the route allows no more time. */
   MonotonicTime deadline;
   std::optional<ActiveSend> active;
+  /** The send that ended last, for the log. */
+  std::optional<ActiveSend> last;
   /** Sends that reached an upstream. */
   int sends = 0;
   /** An upstream may have run the request. */
--- a/src/dispatch/object_memory.cc
+++ b/src/dispatch/object_memory.cc
@@ -33,22 +33,44 @@
   m_places.clear();
 }
 
-std::vector<UpstreamId> PreferredUpstreams(
+bool ObjectMemory::IsRecent(ObjectHash object, std::size_t count) const {
+  std::size_t place = 0;
+  for (const ObjectHash known : m_order) {
+    if (place++ >= count) {
+      return false;
+    }
+    if (known == object) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<UpstreamId> ChooseKeepers(
     ObjectHash object,
-    const std::vector<UpstreamId>& upstreams) {
-  std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
-  ranked.reserve(upstreams.size());
-  for (const UpstreamId& id : upstreams) {
-    ranked.emplace_back(StableHash(id.Text(), object), id);
+    const std::vector<ObjectKeeper>& keepers) {
+  std::vector<std::pair<double, UpstreamId>> ranked;
+  ranked.reserve(keepers.size());
+  for (const ObjectKeeper& keeper : keepers) {
+    if (keeper.weight <= 0) {
+      continue;
+    }
+    // A uniform number in (0, 1) from the upper bits of the hash.
+    const double uniform =
+        (static_cast<double>(StableHash(keeper.id.Text(), object) >> 11U) +
+         0.5) *
+        0x1p-53;
+    ranked.emplace_back(-std::log(uniform) / keeper.weight, keeper.id);
   }
-  std::sort(ranked.begin(), ranked.end());
-  const auto count = static_cast<std::size_t>(
-      std::ceil(kPreferredShare * static_cast<double>(ranked.size())));
-  std::vector<UpstreamId> preferred;
+  const std::size_t count = std::min(kCopies, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  std::vector<UpstreamId> chosen;
   for (std::size_t i = 0; i < count; ++i) {
-    preferred.push_back(std::move(ranked[i].second));
+    chosen.push_back(std::move(ranked[i].second));
   }
-  return preferred;
+  return chosen;
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/object_memory.h
+++ b/src/dispatch/object_memory.h
@@ -35,6 +35,8 @@
   /** Notes that the upstream has handled the object. */
   void Note(ObjectHash object);
   bool Contains(ObjectHash object) const { return m_places.contains(object); }
+  /** Returns whether the object is among the last `count` ones. */
+  bool IsRecent(ObjectHash object, std::size_t count) const;
   void Clear();
 
  private:
@@ -43,21 +45,27 @@
   absl::flat_hash_map<ObjectHash, std::list<ObjectHash>::iterator> m_places;
 };
 
+/** An upstream on which objects may be kept. */
+struct ObjectKeeper {
+  UpstreamId id;
+  /** Share of the objects that it is to keep, relative to the others; 0 keeps
+   * none. */
+  double weight = 0;
+};
+
 /**
- * Returns the ids among `upstreams` that an object is kept on, in rendezvous
- * order.
+ * Returns the upstreams on which an object is kept, the first choice first.
  *
- * Every instance computes the same for the same list, so that each upstream
- * handles about kPreferredShare of all objects and forgets none of them; at
- * least one upstream is returned if there is any.
+ * Weighted rendezvous hashing: every instance computes the same for the same
+ * keepers, and one that comes or goes moves only its own objects. At most
+ * kCopies are returned.
  */
-std::vector<UpstreamId> PreferredUpstreams(
-    ObjectHash object,
-    const std::vector<UpstreamId>& upstreams);
+std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
+                                      const std::vector<ObjectKeeper>& keepers);
 
-/** Share of a region's upstreams of a service on which an object is kept. An
- * upstream remembers at least about two thirds of the objects in use. */
-inline constexpr double kPreferredShare = 0.5;
+/** Upstreams on which an object is kept. One would bear its load; two more allow
+ * to avoid one that is slow or full at the moment. */
+inline constexpr std::size_t kCopies = 3;
 
 }  // namespace kumquatcove
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -2,15 +2,21 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <utility>
 
+#include "dispatch/region_plan.h"
+
 namespace kumquatcove {
 namespace {
 
-// Probability that an upstream on which an object is kept has it at hand,
-// although this instance hasn't sent it there.
-constexpr double kPreferredFamiliarity = 0.6;
+// Probabilities that an upstream has an object at hand: on one where it is kept,
+// if this instance has sent it there or not, and on another to which it was sent
+// lately. Instances send other objects meanwhile that aren't known here.
+constexpr double kKeptFamiliarity = 0.95;
+constexpr double kUnseenFamiliarity = 0.6;
+constexpr double kRecentFamiliarity = 0.5;
+// Objects that an upstream surely still has at hand.
+constexpr std::size_t kRecentObjects = 6;
 
 // What a rejected send costs: the way there and back, and a place in the resend
 // budget.
@@ -61,18 +67,55 @@
          upstream.registration.slots + kMaxWaitingAtUpstream;
 }
 
+std::vector<UpstreamId> Placement::FindKeepers(
+    const PlacementRequest& request) const {
+  if (request.object == 0) {
+    return {};
+  }
+  // Cold and failing upstreams count too: objects must not move for their sake.
+  RegionSlots slots;
+  std::vector<const TrackedUpstream*> staying;
+  for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
+    const TrackedUpstream& upstream = *m_upstreams.Find(id);
+    if (m_upstreams.IsStaying(upstream)) {
+      slots[upstream.region] += upstream.registration.slots;
+      staying.push_back(&upstream);
+    }
+  }
+  if (staying.empty()) {
+    return {};
+  }
+  const RegionShares shares = PlanRegions(m_region, slots);
+  std::vector<ObjectKeeper> keepers;
+  for (const TrackedUpstream* upstream : staying) {
+    keepers.push_back({upstream->registration.id,
+                       upstream->registration.slots *
+                           shares.at(upstream->region) /
+                           slots[upstream->region]});
+  }
+  return ChooseKeepers(request.object, keepers);
+}
+
+double Placement::EstimateFamiliarity(const TrackedUpstream& upstream,
+                                      const PlacementRequest& request,
+                                      bool keeper) const {
+  if (request.object == 0) {
+    return 1;
+  }
+  if (keeper) {
+    return upstream.objects.Contains(request.object) ? kKeptFamiliarity
+                                                     : kUnseenFamiliarity;
+  }
+  return upstream.objects.IsRecent(request.object, kRecentObjects)
+             ? kRecentFamiliarity
+             : 0;
+}
+
 Placement::Candidate Placement::Judge(const TrackedUpstream& upstream,
                                       const PlacementRequest& request,
-                                      bool preferred,
+                                      bool keeper,
                                       MonotonicTime now) const {
-  const bool known =
-      request.object != 0 && upstream.objects.Contains(request.object);
-  double familiarity = 0;
-  if (request.object == 0 || known) {
-    familiarity = 1;
-  } else if (preferred && upstream.sent > 0) {
-    familiarity = kPreferredFamiliarity;
-  }
+  const double familiarity = EstimateFamiliarity(upstream, request, keeper);
   const auto familiar_time = static_cast<double>(
       m_times.Expect(request.service, ObjectFamiliarity::kFamiliar).count());
   const auto unknown_time = static_cast<double>(
@@ -104,6 +147,7 @@
   candidate.choice.familiarity = familiarity > 0.5
                                      ? ObjectFamiliarity::kFamiliar
                                      : ObjectFamiliarity::kUnknown;
+  candidate.choice.occupancy = occupancy;
   candidate.choice.work_time = Duration(std::llround(work));
   candidate.choice.completion = Duration(std::llround(round_trip + wait + work));
   candidate.cost_us =
@@ -119,31 +163,19 @@
     const PlacementRequest& request,
     MonotonicTime now,
     Random& random) const {
-  std::map<RegionName, std::vector<UpstreamId>> regions;
+  const std::vector<UpstreamId> keepers = FindKeepers(request);
+  std::optional<Candidate> best;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    // Cold and failing upstreams count too: an object must not move for their
-    // sake.
-    if (!upstream.leaving) {
-      regions[upstream.region].push_back(id);
+    if (!IsAllowed(upstream, request, now) ||
+        !HasRoom(upstream, request, now)) {
+      continue;
     }
-  }
-  std::optional<Candidate> best;
-  for (const auto& [region, ids] : regions) {
-    const std::vector<UpstreamId> preferred =
-        request.object == 0 ? ids : PreferredUpstreams(request.object, ids);
-    for (const UpstreamId& id : ids) {
-      const TrackedUpstream& upstream = *m_upstreams.Find(id);
-      if (!IsAllowed(upstream, request, now) ||
-          !HasRoom(upstream, request, now)) {
-        continue;
-      }
-      Candidate candidate =
-          Judge(upstream, request, Contains(preferred, id), now);
-      candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
-      if (!best || candidate.cost_us < best->cost_us) {
-        best = std::move(candidate);
-      }
+    Candidate candidate =
+        Judge(upstream, request, Contains(keepers, id), now);
+    candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
+    if (!best || candidate.cost_us < best->cost_us) {
+      best = std::move(candidate);
     }
   }
   if (!best) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -36,6 +36,8 @@
   Duration completion{0};
   /** Expected time at the upstream, without network and waiting. */
   Duration work_time{0};
+  /** Requests that the upstream is believed to have already. */
+  double occupancy = 0;
 };
 
 /**
@@ -52,7 +54,7 @@
  public:
   /** Requests beyond its slots that an upstream may get. What others send isn't
    * known exactly, and an idle slot costs more than a short wait. */
-  static constexpr double kMaxWaitingAtUpstream = 0.5;
+  static constexpr double kMaxWaitingAtUpstream = 2;
 
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
@@ -84,9 +86,14 @@
   bool HasRoom(const TrackedUpstream& upstream,
                const PlacementRequest& request,
                MonotonicTime now) const;
+  /** Returns the upstreams on which the request's object is kept. */
+  std::vector<UpstreamId> FindKeepers(const PlacementRequest& request) const;
+  double EstimateFamiliarity(const TrackedUpstream& upstream,
+                             const PlacementRequest& request,
+                             bool keeper) const;
   Candidate Judge(const TrackedUpstream& upstream,
                   const PlacementRequest& request,
-                  bool preferred,
+                  bool keeper,
                   MonotonicTime now) const;
 
   const UpstreamTable& m_upstreams;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include <absl/strings/str_format.h>
+
 #include "base/hash.h"
 
 namespace kumquatcove {
@@ -524,6 +526,7 @@
   if (result == SendResult::kRejected) {
     request.placement.excluded.push_back(send.upstream);
   }
+  request.last = send;
 }
 
 void RequestDispatcher::OnCallerGone(Context& context, RequestId id) {
@@ -641,22 +644,7 @@
                                DispatchRequest& request,
                                CallerAnswer answer,
                                std::optional<Duration> retry_after) {
-  context.Record(
-      answer.outcome == Outcome::kRan ? "request_answered" : "request_refused",
-      FormatRequestId(request.id),
-      {{"attempt", request.attempt},
-       {"route", request.route == nullptr ? "" : request.route->name},
-       {"service", request.service.Text()},
-       {"configuration", std::to_string(request.table->Version())},
-       {"outcome", std::string(ToString(answer.outcome))},
-       {"reason", std::string(ToString(answer.reason))},
-       {"status", std::to_string(answer.http.status)},
-       {"sends", std::to_string(request.sends)},
-       {"upstream", request.placement.excluded.empty()
-                        ? ""
-                        : request.placement.excluded.back().Text()},
-       {"abandoned", request.abandoned ? "true" : "false"},
-       {"duration_us", FormatMicroseconds(context.Now() - request.arrived)}});
+  RecordEnd(context, request, answer);
   if (!request.service.IsEmpty()) {
     m_queues[request.service].Remove(request.id);
   }
@@ -665,6 +653,40 @@
   m_requests.erase(id);
 }
 
+void RequestDispatcher::RecordEnd(Context& context,
+                                  const DispatchRequest& request,
+                                  const CallerAnswer& answer) const {
+  std::vector<TimelineField> fields = {
+      {"attempt", request.attempt},
+      {"route", request.route == nullptr ? "" : request.route->name},
+      {"service", request.service.Text()},
+      {"configuration", std::to_string(request.table->Version())},
+      {"outcome", std::string(ToString(answer.outcome))},
+      {"reason", std::string(ToString(answer.reason))},
+      {"status", std::to_string(answer.http.status)},
+      {"sends", std::to_string(request.sends)},
+      {"abandoned", request.abandoned ? "true" : "false"},
+      {"duration_us", FormatMicroseconds(context.Now() - request.arrived)}};
+  if (request.last) {
+    const ActiveSend& send = *request.last;
+    fields.push_back({"upstream", send.upstream.Text()});
+    fields.push_back({"object", std::to_string(request.placement.object)});
+    fields.push_back({"familiarity",
+                      std::string(ToString(send.choice.familiarity))});
+    fields.push_back(
+        {"waited_us", FormatMicroseconds(send.started - request.arrived)});
+    fields.push_back(
+        {"work_us", FormatMicroseconds(context.Now() - send.sent_at)});
+    fields.push_back(
+        {"expected_us", FormatMicroseconds(send.choice.completion)});
+    fields.push_back(
+        {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
+  }
+  context.Record(
+      answer.outcome == Outcome::kRan ? "request_answered" : "request_refused",
+      FormatRequestId(request.id), std::move(fields));
+}
+
 std::vector<SuspicionRecord> RequestDispatcher::TakeSuspicions() {
   return std::exchange(m_suspicion_changes, {});
 }
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -133,6 +133,10 @@
               CallerAnswer answer,
               std::optional<Duration> retry_after);
 
+  void RecordEnd(Context& context,
+                 const DispatchRequest& request,
+                 const CallerAnswer& answer) const;
+
   DispatchRequest* Find(RequestId id);
   DispatchRequest* FindByConnection(ConnectionId connection);
   ConnectionId NextConnection() { return ConnectionId{++m_last_connection}; }
--- a/src/dispatch/service_times.h
+++ b/src/dispatch/service_times.h
@@ -1,9 +1,12 @@
 #ifndef DISPATCH_SERVICE_TIMES_H_
 #define DISPATCH_SERVICE_TIMES_H_
 
+#include <array>
+
 #include <absl/container/flat_hash_map.h>
 
 #include "base/clock_reading.h"
+#include "base/enum_table.h"
 #include "base/name.h"
 
 namespace kumquatcove {
@@ -11,6 +14,12 @@
 /** Whether an upstream has handled the object of a request lately. */
 enum class ObjectFamiliarity { kUnknown, kFamiliar };
 
+constexpr auto EnumNames(ObjectFamiliarity) {
+  return std::array{
+      EnumName<ObjectFamiliarity>{ObjectFamiliarity::kUnknown, "unknown"},
+      EnumName<ObjectFamiliarity>{ObjectFamiliarity::kFamiliar, "familiar"}};
+}
+
 /**
  * How long requests of each service take at an upstream, learned from answers.
  *
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -111,9 +111,7 @@
 
 bool UpstreamTable::IsOpen(const TrackedUpstream& upstream,
                            MonotonicTime now) const {
-  return !upstream.leaving && !upstream.displaced &&
-         now >= upstream.avoid_until &&
-         !m_evacuated.contains(upstream.registration.zone);
+  return IsStaying(upstream) && now >= upstream.avoid_until;
 }
 
 void UpstreamTable::OnStarted(const UpstreamId& id) {
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -91,6 +91,13 @@
    * its zone go; it may still be cold or full. */
   bool IsOpen(const TrackedUpstream& upstream, MonotonicTime now) const;
 
+  /** Returns whether an upstream belongs to those that will get work, even if it
+   * can't at the moment. */
+  bool IsStaying(const TrackedUpstream& upstream) const {
+    return !upstream.leaving && !upstream.displaced &&
+           !m_evacuated.contains(upstream.registration.zone);
+  }
+
   bool IsCold(const TrackedUpstream& upstream, MonotonicTime now) const {
     return now < upstream.cold_until;
   }
