Keep objects on their upstreams under load; read no request before the exit

Change: an upstream gets requests for objects kept elsewhere only while half of its slots are free; before the exit connections without a request are closed and none is accepted.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -22,6 +22,11 @@
 constexpr int kLookupKeepFactor = 3;
 // Heartbeats and look-ups that are under way when this instance starts to leave.
 constexpr Duration kLeavingMargin = Milliseconds(700);
+// Part of the time until SIGKILL in which requests are taken; the rest is for
+// finishing them.
+constexpr double kMaxOpenShare = 0.65;
+// Time for events of the transport to reach the reducer.
+constexpr Duration kIntakeDelay = Milliseconds(50);
 // Time before SIGKILL at which the process ends whatever is in flight.
 constexpr Duration kKillMargin = Milliseconds(300);
 
@@ -217,7 +222,7 @@
   m_context.Emit(SetCallerLimits{
       limits.max_header_bytes,
       std::min(limits.max_body_bytes, kMaxBufferedBody), limits.idle_timeout,
-      m_stop_requested.has_value()});
+      m_intake});
 }
 
 void DispatchReducer::HandleLookup(const LookupArrived& event) {
@@ -250,6 +255,7 @@
   m_context.Record("stop_requested", m_context.Self().instance.Text(),
                    {{"pending", std::to_string(m_dispatcher.PendingCount())}});
   m_presence.SetPhase(m_context, InstancePhase::kLeaving);
+  m_intake = CallerIntake::kClosing;
   UpdatePhase();
   ApplyCallerLimits();
   RemoveRegistration();
@@ -285,9 +291,19 @@
   }
   const Duration stopping = m_context.Now() - *m_stop_requested;
   const Duration grace = FromSeconds(m_settings.grace_s);
-  const Duration quiet = std::min(
-      kLookupTimeToLive * kLookupKeepFactor + kLeavingMargin, grace / 2);
-  const bool done = m_dispatcher.PendingCount() == 0 && stopping >= quiet;
+  const Duration open_time =
+      std::min(kLookupTimeToLive * kLookupKeepFactor + kLeavingMargin,
+               std::chrono::duration_cast<Duration>(grace * kMaxOpenShare));
+  if (stopping >= open_time && m_intake != CallerIntake::kClosed) {
+    m_intake = CallerIntake::kClosed;
+    ApplyCallerLimits();
+    // Requests that were read before this effect are still on their way here.
+    m_closed = m_context.Now();
+    return;
+  }
+  const bool done = m_intake == CallerIntake::kClosed &&
+                    m_dispatcher.PendingCount() == 0 &&
+                    m_context.Now() >= m_closed + kIntakeDelay;
   if (done || stopping >= grace - kKillMargin) {
     m_exited = true;
     m_context.Record("instance_stopped", m_context.Self().instance.Text(),
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -73,6 +73,8 @@
   RequestDispatcher m_dispatcher;
   MonotonicTime m_last_event;
   std::optional<MonotonicTime> m_stop_requested;
+  CallerIntake m_intake = CallerIntake::kOpen;
+  MonotonicTime m_closed;
   bool m_ready = false;
   bool m_exited = false;
 };
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -57,14 +57,16 @@
 
 bool Placement::HasRoom(const TrackedUpstream& upstream,
                         const PlacementRequest& request,
+                        bool keeper,
                         MonotonicTime now) const {
   if (m_upstreams.IsCold(upstream, now) &&
       (upstream.region != m_region ||
        !upstream.pacer.IsDue(now, request.cold_rate))) {
     return false;
   }
+  const double share = keeper ? 1 + kMaxWaitingShare : kMaxStrayShare;
   return UpstreamTable::EstimateOccupancy(upstream, now) <
-         upstream.registration.slots + kMaxWaitingAtUpstream;
+         upstream.registration.slots * share;
 }
 
 std::vector<UpstreamId> Placement::FindKeepers(
@@ -167,12 +169,12 @@
   std::optional<Candidate> best;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
+    const bool keeper = request.object == 0 || Contains(keepers, id);
     if (!IsAllowed(upstream, request, now) ||
-        !HasRoom(upstream, request, now)) {
+        !HasRoom(upstream, request, keeper, now)) {
       continue;
     }
-    Candidate candidate =
-        Judge(upstream, request, Contains(keepers, id), now);
+    Candidate candidate = Judge(upstream, request, keeper, now);
     candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
     if (!best || candidate.cost_us < best->cost_us) {
       best = std::move(candidate);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -52,9 +52,15 @@
  */
 class Placement {
  public:
-  /** Requests beyond its slots that an upstream may get. What others send isn't
-   * known exactly, and an idle slot costs more than a short wait. */
-  static constexpr double kMaxWaitingAtUpstream = 2;
+  /** Requests beyond its slots that an upstream may get, as a share of the slots.
+   * What others send isn't known exactly, and an idle slot costs more than a
+   * short wait. */
+  static constexpr double kMaxWaitingShare = 0.35;
+  /** Share of its slots up to which an upstream gets requests whose object isn't
+   * kept there. Work without the object at hand takes a slot several times as
+   * long and displaces another object, so that under load it would cost more
+   * capacity than it uses. */
+  static constexpr double kMaxStrayShare = 0.5;
 
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
@@ -85,6 +91,7 @@
                  MonotonicTime now) const;
   bool HasRoom(const TrackedUpstream& upstream,
                const PlacementRequest& request,
+               bool keeper,
                MonotonicTime now) const;
   /** Returns the upstreams on which the request's object is kept. */
   std::vector<UpstreamId> FindKeepers(const PlacementRequest& request) const;
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -1,6 +1,7 @@
 #ifndef PROTOCOL_EFFECT_H_
 #define PROTOCOL_EFFECT_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include <boost/describe/class.hpp>
 
+#include "base/enum_table.h"
 #include "base/hybrid_clock.h"
 #include "base/name.h"
 #include "protocol/http_message.h"
@@ -158,21 +160,36 @@
 };
 BOOST_DESCRIBE_STRUCT(SetReadiness, (), (ready))
 
-/** Bounds what callers may send; `closing` ends each caller's connection with
- * its next answer. */
+/** What happens to connections of callers. */
+enum class CallerIntake {
+  kOpen,
+  /** Each connection ends with its next answer. */
+  kClosing,
+  /** No new connection is accepted and no further request is read. */
+  kClosed,
+};
+
+constexpr auto EnumNames(CallerIntake) {
+  using Row = EnumName<CallerIntake>;
+  return std::array{Row{CallerIntake::kOpen, "open"},
+                    Row{CallerIntake::kClosing, "closing"},
+                    Row{CallerIntake::kClosed, "closed"}};
+}
+
+/** Bounds what callers may send. */
 struct SetCallerLimits {
   static constexpr std::string_view kName = "set_caller_limits";
   std::int64_t max_header_bytes = 0;
   std::int64_t max_body_bytes = 0;
   /** Longest time between two requests of a connection. */
   Duration idle{0};
-  bool closing = false;
+  CallerIntake intake = CallerIntake::kOpen;
   friend bool operator==(const SetCallerLimits&,
                          const SetCallerLimits&) = default;
 };
 BOOST_DESCRIBE_STRUCT(SetCallerLimits,
                       (),
-                      (max_header_bytes, max_body_bytes, idle, closing))
+                      (max_header_bytes, max_body_bytes, idle, intake))
 
 /** Ends the process; nothing is in flight any more. */
 struct Exit {
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -231,9 +231,12 @@
     limits.max_body_bytes = static_cast<std::size_t>(effect.max_body_bytes);
     limits.idle = std::max(limits.idle, effect.idle + kIdleMargin);
     m_caller_server.SetLimits(limits);
-    if (effect.closing) {
+    if (effect.intake != CallerIntake::kOpen) {
       m_caller_server.CloseAfterAnswers();
     }
+    if (effect.intake == CallerIntake::kClosed) {
+      m_caller_server.StopReading();
+    }
   }
 
   void OnExit() {
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -80,6 +80,10 @@
   std::size_t connections = 0;
   /** Connections end with their next answer. */
   bool closing = false;
+  /** No request is read any more. */
+  bool stopped = false;
+  /** All sessions, by their address. */
+  std::unordered_map<Session*, std::weak_ptr<Session>> sessions;
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> waiting;
 };
 
@@ -94,11 +98,20 @@
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   }
 
-  ~Session() { --m_state->connections; }
+  ~Session() {
+    --m_state->connections;
+    m_state->sessions.erase(this);
+  }
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
   void ReadRequest() {
+    if (m_state->stopped) {
+      CloseSocket();
+      return;
+    }
+    m_state->sessions[this] = weak_from_this();
+    m_reading = true;
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_state->limits.max_header_bytes));
@@ -111,6 +124,13 @@
         });
   }
 
+  /** Closes the connection unless a request is in progress. */
+  void StopReading() {
+    if (m_reading) {
+      CloseSocket();
+    }
+  }
+
   /** Refuses the connection, since there are too many. */
   void Refuse() {
     m_stream.expires_after(m_state->limits.idle);
@@ -155,7 +175,13 @@
         });
   }
 
+  void CloseSocket() {
+    error_code ignored;
+    m_stream.socket().close(ignored);
+  }
+
   void OnReadError(const error_code& error) {
+    m_reading = false;
     if (IsParseError(error)) {
       Write(m_state->handler->OnMalformed(StatusOfParseError(error),
                                           error.message()),
@@ -168,6 +194,7 @@
       OnReadError(error);
       return;
     }
+    m_reading = false;
     m_stream.expires_never();
     const BeastRequest& message = m_parser->get();
     ServedRequest request;
@@ -269,6 +296,8 @@
   std::size_t m_discard_total = 0;
   /** Exchange that waits for its answer; 0 if none. */
   std::uint64_t m_exchange = 0;
+  /** Waits for a request or reads one. */
+  bool m_reading = false;
   /** Grows when a wait for closing is no longer of interest. */
   std::uint64_t m_generation = 0;
 };
@@ -329,6 +358,18 @@
 
   void CloseAfterAnswers() { m_state->closing = true; }
 
+  void StopReading() {
+    m_state->stopped = true;
+    error_code ignored;
+    m_acceptor.close(ignored);
+    const auto sessions = m_state->sessions;
+    for (const auto& [address, session] : sessions) {
+      if (const std::shared_ptr<Session> open = session.lock()) {
+        open->StopReading();
+      }
+    }
+  }
+
   /** Releases the sessions that wait; they and the state refer to each other.
    */
   void DropWaiting() {
@@ -399,6 +440,10 @@
   m_implementation->SetLimits(limits);
 }
 
+void RequestServer::StopReading() {
+  m_implementation->StopReading();
+}
+
 void RequestServer::CloseAfterAnswers() {
   m_implementation->CloseAfterAnswers();
 }
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -52,6 +52,11 @@
   /** Closes each connection with its next answer from now on. */
   void CloseAfterAnswers();
 
+  /** Accepts no connection and reads no request from now on; connections without
+   * a request in progress are closed. Requests that were read are still
+   * answered. */
+  void StopReading();
+
   /** Returns the port that was bound. */
   std::uint16_t Port() const;
 
