--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -108,9 +108,12 @@
                            StoreRequestId id,
                            const StoreReply& reply) {
   for (auto& [table, follower] : m_tables) {
+    const std::size_t before = follower.Rows().size();
     if (!follower.OnReply(context, id, reply)) {
       continue;
     }
+    m_mass_lapse =
+        table == RegistryTable::kUpstreams && IsMassLapse(context, before);
     for (const StoreRow& row : follower.TakeChanges()) {
       if (row.deleted) {
         OnRowGone(context, table, row);
@@ -157,9 +160,8 @@
 
 void RegistrySync::OnUpstreamRowGone(Context& context, const UpstreamId& id) {
   const TableFollower& follower = m_tables.at(RegistryTable::kUpstreams);
-  const std::optional<MonotonicTime> regained = follower.RegainedAt();
-  if (regained && context.Now() < *regained + kReturnTime) {
-    m_lapsed.emplace(id, *regained + kReturnTime);
+  if (m_mass_lapse) {
+    m_lapsed.emplace(id, *follower.RegainedAt() + kReturnTime);
     context.Record("upstream_lapsed", id.Text());
     return;
   }
@@ -167,6 +169,15 @@
   m_changes.push_back(UpstreamGone{id});
 }
 
+bool RegistrySync::IsMassLapse(const Context& context,
+                               std::size_t before) const {
+  const TableFollower& follower = m_tables.at(RegistryTable::kUpstreams);
+  const std::optional<MonotonicTime> regained = follower.RegainedAt();
+  return regained && context.Now() < *regained + kReturnTime &&
+         static_cast<double>(follower.Rows().size()) <
+             kMinRemaining * static_cast<double>(before);
+}
+
 void RegistrySync::ExpireLapsed(Context& context) {
   if (!IsStoreReachable()) {
     // The rows can't come back before the store does.
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -57,9 +57,10 @@
  * Follows the tables that describe the deployment and gives the changes.
  *
  * Versions of the configuration never go back. While the store is away the last
- * state holds: upstreams can't renew their rows then, so a row that lapsed
- * during an outage, or within kReturnTime after it, counts as gone only once
- * kReturnTime has passed. Thread safety: none; owned by one reducer.
+ * state holds. Upstreams can't renew their rows then, so that many rows lapse
+ * together; these count as gone only once kReturnTime has passed since the store
+ * is back. Where few rows are missing after an outage, it was this instance that
+ * was cut off, and they are gone. Thread safety: none; owned by one reducer.
  */
 class RegistrySync {
  public:
@@ -67,6 +68,10 @@
    * away; the platform states about two seconds. */
   static constexpr Duration kReturnTime = Milliseconds(2200);
 
+  /** Upstreams that are left after an outage, as a share of those before it, from
+   * which on the others are taken to be gone and not to have lapsed. */
+  static constexpr double kMinRemaining = 0.72;
+
   /** `codec` must outlive this object. */
   explicit RegistrySync(const RegistryCodec& codec);
 
@@ -93,6 +98,9 @@
   void ApplyRow(Context& context, RegistryTable table, const StoreRow& row);
   void OnRowGone(Context& context, RegistryTable table, const StoreRow& row);
   void OnUpstreamRowGone(Context& context, const UpstreamId& id);
+  /** Returns whether rows that vanish now have lapsed in an outage. `before` is
+   * the number of upstreams before the reply. */
+  bool IsMassLapse(const Context& context, std::size_t before) const;
   void ExpireLapsed(Context& context);
 
   const RegistryCodec& m_codec;
@@ -105,6 +113,7 @@
    * delayed must not undo a later one. */
   std::map<UpstreamId, std::pair<std::int64_t, std::int64_t>> m_newest;
   bool m_has_routes = false;
+  bool m_mass_lapse = false;
 };
 
 }  // namespace kumquatcove
