--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -1,6 +1,7 @@
 #include "dispatch/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -10,10 +11,12 @@
 namespace {
 
 // Probabilities that an upstream has an object at hand: on one where it is kept,
-// if this instance has sent it there or not, and on another to which it was sent
-// lately. Instances send other objects meanwhile that aren't known here.
+// if this instance has sent it there, or else by its rank among those; and on
+// another to which it was sent lately. Instances send other objects meanwhile
+// that aren't known here. Later ranks are used only when the first is crowded or
+// slow, so that most objects stay on one upstream.
 constexpr double kKeptFamiliarity = 0.95;
-constexpr double kUnseenFamiliarity = 0.6;
+constexpr std::array<double, kCopies> kUnseenFamiliarity = {0.6, 0.2, 0.1};
 constexpr double kRecentFamiliarity = 0.5;
 // Objects that an upstream surely still has at hand.
 constexpr std::size_t kRecentObjects = 6;
@@ -69,12 +72,11 @@
          upstream.registration.slots * share;
 }
 
-std::vector<UpstreamId> Placement::FindKeepers(
-    const PlacementRequest& request) const {
-  if (request.object == 0) {
-    return {};
-  }
-  // Cold and failing upstreams count too: objects must not move for their sake.
+Placement::Plan Placement::MakePlan(const PlacementRequest& request,
+                                    MonotonicTime now) const {
+  Plan plan;
+  // Cold and failing upstreams keep objects too: these must not move for their
+  // sake.
   RegionSlots slots;
   std::vector<const TrackedUpstream*> staying;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
@@ -83,9 +85,11 @@
       slots[upstream.region] += upstream.registration.slots;
       staying.push_back(&upstream);
     }
+    plan.has_home = plan.has_home || (upstream.region == m_region &&
+                                      IsAllowed(upstream, request, now));
   }
-  if (staying.empty()) {
-    return {};
+  if (staying.empty() || request.object == 0) {
+    return plan;
   }
   const RegionShares shares = PlanRegions(m_region, slots);
   std::vector<ObjectKeeper> keepers;
@@ -95,18 +99,27 @@
                            shares.at(upstream->region) /
                            slots[upstream->region]});
   }
-  return ChooseKeepers(request.object, keepers);
+  plan.keepers = ChooseKeepers(request.object, keepers);
+  return plan;
+}
+
+bool Placement::IsOverflow(const TrackedUpstream& upstream,
+                           const PlacementRequest& request,
+                           const Plan& plan,
+                           bool keeper) const {
+  const bool planned = keeper && request.object != 0;
+  return upstream.region != m_region && plan.has_home && !planned;
 }
 
 double Placement::EstimateFamiliarity(const TrackedUpstream& upstream,
                                       const PlacementRequest& request,
-                                      bool keeper) const {
+                                      std::size_t rank) const {
   if (request.object == 0) {
     return 1;
   }
-  if (keeper) {
+  if (rank < kCopies) {
     return upstream.objects.Contains(request.object) ? kKeptFamiliarity
-                                                     : kUnseenFamiliarity;
+                                                     : kUnseenFamiliarity[rank];
   }
   return upstream.objects.IsRecent(request.object, kRecentObjects)
              ? kRecentFamiliarity
@@ -115,9 +128,9 @@
 
 Placement::Candidate Placement::Judge(const TrackedUpstream& upstream,
                                       const PlacementRequest& request,
-                                      bool keeper,
+                                      std::size_t rank,
                                       MonotonicTime now) const {
-  const double familiarity = EstimateFamiliarity(upstream, request, keeper);
+  const double familiarity = EstimateFamiliarity(upstream, request, rank);
   const auto familiar_time = static_cast<double>(
       m_times.Expect(request.service, ObjectFamiliarity::kFamiliar).count());
   const auto unknown_time = static_cast<double>(
@@ -165,16 +178,25 @@
     const PlacementRequest& request,
     MonotonicTime now,
     Random& random) const {
-  const std::vector<UpstreamId> keepers = FindKeepers(request);
+  const Plan plan = MakePlan(request, now);
   std::optional<Candidate> best;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    const bool keeper = request.object == 0 || Contains(keepers, id);
+    const auto place =
+        std::find(plan.keepers.begin(), plan.keepers.end(), id);
+    const bool keeper = request.object == 0 || place != plan.keepers.end();
+    const bool overflow = IsOverflow(upstream, request, plan, keeper);
     if (!IsAllowed(upstream, request, now) ||
-        !HasRoom(upstream, request, keeper, now)) {
+        !HasRoom(upstream, request, keeper, now) ||
+        (overflow && !request.may_overflow)) {
       continue;
     }
-    Candidate candidate = Judge(upstream, request, keeper, now);
+    const std::size_t rank =
+        place == plan.keepers.end()
+            ? kCopies
+            : static_cast<std::size_t>(place - plan.keepers.begin());
+    Candidate candidate = Judge(upstream, request, rank, now);
+    candidate.choice.overflow = overflow;
     candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
     if (!best || candidate.cost_us < best->cost_us) {
       best = std::move(candidate);
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,6 +26,8 @@
   /** Number of requests per second that this instance may send to one cold
    * upstream of its own region. */
   double cold_rate = 0;
+  /** It may run in a region that the plan doesn't name for it. */
+  bool may_overflow = true;
 };
 
 /** Where a request goes, and what is expected there. */
@@ -38,6 +40,8 @@
   Duration work_time{0};
   /** Requests that the upstream is believed to have already. */
   double occupancy = 0;
+  /** It runs in a region that the plan doesn't name for it. */
+  bool overflow = false;
 };
 
 /**
@@ -86,6 +90,13 @@
     double cost_us = 0;
   };
 
+  /** Upstreams on which the request's object is kept, and whether the own region
+   * has any upstream for it. */
+  struct Plan {
+    std::vector<UpstreamId> keepers;
+    bool has_home = false;
+  };
+
   bool IsAllowed(const TrackedUpstream& upstream,
                  const PlacementRequest& request,
                  MonotonicTime now) const;
@@ -93,14 +104,19 @@
                const PlacementRequest& request,
                bool keeper,
                MonotonicTime now) const;
-  /** Returns the upstreams on which the request's object is kept. */
-  std::vector<UpstreamId> FindKeepers(const PlacementRequest& request) const;
+  Plan MakePlan(const PlacementRequest& request, MonotonicTime now) const;
+  /** Returns whether the plan doesn't name the upstream's region. */
+  bool IsOverflow(const TrackedUpstream& upstream,
+                  const PlacementRequest& request,
+                  const Plan& plan,
+                  bool keeper) const;
+  /** `rank` is the upstream's place among the keepers, or their number. */
   double EstimateFamiliarity(const TrackedUpstream& upstream,
                              const PlacementRequest& request,
-                             bool keeper) const;
+                             std::size_t rank) const;
   Candidate Judge(const TrackedUpstream& upstream,
                   const PlacementRequest& request,
-                  bool keeper,
+                  std::size_t rank,
                   MonotonicTime now) const;
 
   const UpstreamTable& m_upstreams;
--- /dev/null
+++ b/src/dispatch/region_overflow.cc
@@ -0,0 +1,49 @@
+#include "dispatch/region_overflow.h"
+
+#include <algorithm>
+
+namespace kumquatcove {
+namespace {
+
+// Part of the platform's bound by which the limit moves in one window. Chance
+// alone moves the share of some hundred requests by a few hundredths.
+constexpr double kUsablePart = 0.4;
+// Share that is allowed at once, as part of the bound.
+constexpr double kInitialPart = 0.25;
+constexpr Duration kAdjustInterval = Milliseconds(100);
+
+}  // namespace
+
+RegionOverflow::RegionOverflow(double max_shift)
+    : m_max_shift(max_shift),
+      m_limit(max_shift * kInitialPart),
+      m_placed(kWindow),
+      m_overflowed(kWindow) {}
+
+bool RegionOverflow::IsAllowed(MonotonicTime now) const {
+  return m_overflowed.Sum(now) + 1 <= m_limit * (m_placed.Sum(now) + 1);
+}
+
+void RegionOverflow::OnPlaced(bool overflow, MonotonicTime now) {
+  m_placed.Add(now);
+  if (overflow) {
+    m_overflowed.Add(now);
+  }
+}
+
+void RegionOverflow::OnTick(MonotonicTime now) {
+  const Duration passed = now - m_adjusted;
+  if (passed < kAdjustInterval) {
+    return;
+  }
+  const double step =
+      m_max_shift * kUsablePart *
+      std::min(1.0, static_cast<double>(passed.count()) /
+                        static_cast<double>(kWindow.count()));
+  m_adjusted = now;
+  const double initial = m_max_shift * kInitialPart;
+  m_limit = std::clamp(m_limit + (m_denied ? step : -step), initial, 1.0);
+  m_denied = false;
+}
+
+}  // namespace kumquatcove
--- /dev/null
+++ b/src/dispatch/region_overflow.h
@@ -0,0 +1,55 @@
+#ifndef DISPATCH_REGION_OVERFLOW_H_
+#define DISPATCH_REGION_OVERFLOW_H_
+
+#include "base/clock_reading.h"
+#include "dispatch/sliding_count.h"
+
+namespace kumquatcove {
+
+/**
+ * Limits how fast requests of this instance's callers move to regions that the
+ * plan doesn't name for them.
+ *
+ * The platform bounds the share of a region's requests that change the region
+ * from one window of two seconds to the next. Each instance keeps its own share
+ * within a limit that rises slowly while more is wanted and falls slowly while
+ * less is used, so that the bound holds for all instances of the region without
+ * messages. Thread safety: none.
+ */
+class RegionOverflow {
+ public:
+  /** The platform's window. */
+  static constexpr Duration kWindow = Seconds(2);
+
+  /** `max_shift` is the greatest share that may move within a window, 0 to 1. */
+  explicit RegionOverflow(double max_shift);
+
+  void SetMaxShift(double max_shift) { m_max_shift = max_shift; }
+
+  /** Returns whether a request may run in a region that the plan doesn't name. */
+  bool IsAllowed(MonotonicTime now) const;
+
+  /** Notes a request that was placed. */
+  void OnPlaced(bool overflow, MonotonicTime now);
+
+  /** Notes that a request waits although other regions had room. */
+  void OnDenied() { m_denied = true; }
+
+  /** Adjusts the limit; to be called at least every 100 ms. */
+  void OnTick(MonotonicTime now);
+
+  /** Returns the share that is allowed at present. */
+  double Limit() const { return m_limit; }
+
+ private:
+  double m_max_shift;
+  double m_limit;
+  SlidingCount m_placed;
+  SlidingCount m_overflowed;
+  MonotonicTime m_adjusted;
+  bool m_denied = false;
+};
+
+}  // namespace kumquatcove
+
+#endif  // DISPATCH_REGION_OVERFLOW_H_
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -73,10 +73,12 @@
       m_routes(std::make_shared<const RouteTable>()),
       m_distances(self.zone, self.region, settings),
       m_placement(m_upstreams, m_times, m_distances, self.region),
+      m_overflow(settings.max_region_shift),
       m_resends(settings) {}
 
 void RequestDispatcher::SetSettings(const DispatchSettings& settings) {
   m_distances.SetSettings(settings);
+  m_overflow.SetMaxShift(settings.max_region_shift);
   m_resends.SetSettings(settings);
 }
 
@@ -229,9 +231,13 @@
 bool RequestDispatcher::TryStart(Context& context, DispatchRequest& request) {
   const MonotonicTime now = context.Now();
   request.placement.cold_rate = ColdRate(request.service);
+  request.placement.may_overflow = m_overflow.IsAllowed(now);
   std::optional<PlacementChoice> choice =
       m_placement.Choose(request.placement, now, context.RandomNumbers());
   if (!choice) {
+    if (!request.placement.may_overflow) {
+      m_overflow.OnDenied();
+    }
     return false;
   }
   TrackedUpstream& upstream = *m_upstreams.Find(choice->upstream);
@@ -243,6 +249,7 @@
   send.upstream = choice->upstream;
   send.started = now;
   send.choice = std::move(*choice);
+  m_overflow.OnPlaced(send.choice.overflow, now);
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
       m_idle.Take(send.upstream, request.IsIdempotent(), now);
@@ -548,6 +555,7 @@
 
 void RequestDispatcher::OnTick(Context& context) {
   const MonotonicTime now = context.Now();
+  m_overflow.OnTick(now);
   std::vector<ConnectionId> failed_opens;
   for (const auto& [connection, check] : m_crash_checks) {
     if (now >= check.started + kConnectTimeout) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -14,6 +14,7 @@
 #include "dispatch/dispatch_request.h"
 #include "dispatch/idle_connections.h"
 #include "dispatch/placement.h"
+#include "dispatch/region_overflow.h"
 #include "dispatch/resend_budget.h"
 #include "dispatch/service_splitter.h"
 #include "dispatch/service_times.h"
@@ -150,6 +151,7 @@
   ZoneDistances m_distances;
   Placement m_placement;
   IdleConnections m_idle;
+  RegionOverflow m_overflow;
   ResendBudget m_resends;
   ServiceSplitter m_splitter;
   CrashSuspicions m_suspicions;
