--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -85,8 +85,9 @@
       slots[upstream.region] += upstream.registration.slots;
       staying.push_back(&upstream);
     }
-    plan.has_home = plan.has_home || (upstream.region == m_region &&
-                                      IsAllowed(upstream, request, now));
+    if (upstream.region == m_region && IsAllowed(upstream, request, now)) {
+      plan.region = m_region;
+    }
   }
   if (staying.empty() || request.object == 0) {
     return plan;
@@ -100,17 +101,16 @@
                            slots[upstream->region]});
   }
   plan.keepers = ChooseKeepers(request.object, keepers);
+  for (const UpstreamId& id : plan.keepers) {
+    const TrackedUpstream& keeper = *m_upstreams.Find(id);
+    if (IsAllowed(keeper, request, now)) {
+      plan.region = keeper.region;
+      break;
+    }
+  }
   return plan;
 }
 
-bool Placement::IsOverflow(const TrackedUpstream& upstream,
-                           const PlacementRequest& request,
-                           const Plan& plan,
-                           bool keeper) const {
-  const bool planned = keeper && request.object != 0;
-  return upstream.region != m_region && plan.has_home && !planned;
-}
-
 double Placement::EstimateFamiliarity(const TrackedUpstream& upstream,
                                       const PlacementRequest& request,
                                       std::size_t rank) const {
@@ -180,15 +180,14 @@
     Random& random) const {
   const Plan plan = MakePlan(request, now);
   std::optional<Candidate> best;
+  std::optional<Candidate> best_planned;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
     const auto place =
         std::find(plan.keepers.begin(), plan.keepers.end(), id);
     const bool keeper = request.object == 0 || place != plan.keepers.end();
-    const bool overflow = IsOverflow(upstream, request, plan, keeper);
     if (!IsAllowed(upstream, request, now) ||
-        !HasRoom(upstream, request, keeper, now) ||
-        (overflow && !request.may_overflow)) {
+        !HasRoom(upstream, request, keeper, now)) {
       continue;
     }
     const std::size_t rank =
@@ -196,16 +195,29 @@
             ? kCopies
             : static_cast<std::size_t>(place - plan.keepers.begin());
     Candidate candidate = Judge(upstream, request, rank, now);
-    candidate.choice.overflow = overflow;
+    candidate.choice.overflow =
+        !plan.region.IsEmpty() && upstream.region != plan.region;
     candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
-    if (!best || candidate.cost_us < best->cost_us) {
-      best = std::move(candidate);
+    if (!candidate.choice.overflow) {
+      KeepCheaper(best_planned, candidate);
     }
+    KeepCheaper(best, candidate);
   }
-  if (!best) {
+  const bool denied = best && best->choice.overflow && !request.may_overflow;
+  const std::optional<Candidate>& chosen = denied ? best_planned : best;
+  if (!chosen) {
     return std::nullopt;
   }
-  return std::move(best->choice);
+  PlacementChoice choice = chosen->choice;
+  choice.overflow_denied = denied;
+  return choice;
+}
+
+void Placement::KeepCheaper(std::optional<Candidate>& best,
+                            const Candidate& candidate) {
+  if (!best || candidate.cost_us < best->cost_us) {
+    best = candidate;
+  }
 }
 
 bool Placement::HasCandidate(const PlacementRequest& request,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -26,7 +26,7 @@
   /** Number of requests per second that this instance may send to one cold
    * upstream of its own region. */
   double cold_rate = 0;
-  /** It may run in a region that the plan doesn't name for it. */
+  /** It may run in another region than the planned one. */
   bool may_overflow = true;
 };
 
@@ -40,8 +40,10 @@
   Duration work_time{0};
   /** Requests that the upstream is believed to have already. */
   double occupancy = 0;
-  /** It runs in a region that the plan doesn't name for it. */
+  /** It runs in another region than the planned one. */
   bool overflow = false;
+  /** Another region would have been better, but it may not overflow. */
+  bool overflow_denied = false;
 };
 
 /**
@@ -76,7 +78,8 @@
         m_distances(distances),
         m_region(std::move(region)) {}
 
-  /** Returns the best upstream; nothing if none has room now. */
+  /** Returns the best upstream; nothing if none that is permitted has room now.
+   */
   std::optional<PlacementChoice> Choose(const PlacementRequest& request,
                                         MonotonicTime now,
                                         Random& random) const;
@@ -90,11 +93,11 @@
     double cost_us = 0;
   };
 
-  /** Upstreams on which the request's object is kept, and whether the own region
-   * has any upstream for it. */
+  /** Upstreams on which the request's object is kept, and the region in which it
+   * is to run; empty if every region will do. */
   struct Plan {
     std::vector<UpstreamId> keepers;
-    bool has_home = false;
+    RegionName region;
   };
 
   bool IsAllowed(const TrackedUpstream& upstream,
@@ -105,11 +108,6 @@
                bool keeper,
                MonotonicTime now) const;
   Plan MakePlan(const PlacementRequest& request, MonotonicTime now) const;
-  /** Returns whether the plan doesn't name the upstream's region. */
-  bool IsOverflow(const TrackedUpstream& upstream,
-                  const PlacementRequest& request,
-                  const Plan& plan,
-                  bool keeper) const;
   /** `rank` is the upstream's place among the keepers, or their number. */
   double EstimateFamiliarity(const TrackedUpstream& upstream,
                              const PlacementRequest& request,
@@ -119,6 +117,9 @@
                   std::size_t rank,
                   MonotonicTime now) const;
 
+  static void KeepCheaper(std::optional<Candidate>& best,
+                          const Candidate& candidate);
+
   const UpstreamTable& m_upstreams;
   const ServiceTimes& m_times;
   const ZoneDistances& m_distances;
--- a/src/dispatch/region_overflow.h
+++ b/src/dispatch/region_overflow.h
@@ -7,8 +7,8 @@
 namespace kumquatcove {
 
 /**
- * Limits how fast requests of this instance's callers move to regions that the
- * plan doesn't name for them.
+ * Limits how fast requests of this instance's callers move to other regions than
+ * the planned ones.
  *
  * The platform bounds the share of a region's requests that change the region
  * from one window of two seconds to the next. Each instance keeps its own share
@@ -26,13 +26,13 @@
 
   void SetMaxShift(double max_shift) { m_max_shift = max_shift; }
 
-  /** Returns whether a request may run in a region that the plan doesn't name. */
+  /** Returns whether a request may run in another region than the planned one. */
   bool IsAllowed(MonotonicTime now) const;
 
   /** Notes a request that was placed. */
   void OnPlaced(bool overflow, MonotonicTime now);
 
-  /** Notes that a request waits although other regions had room. */
+  /** Notes that another region would have been better for a request. */
   void OnDenied() { m_denied = true; }
 
   /** Adjusts the limit; to be called at least every 100 ms. */
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -250,6 +250,9 @@
   send.started = now;
   send.choice = std::move(*choice);
   m_overflow.OnPlaced(send.choice.overflow, now);
+  if (send.choice.overflow_denied) {
+    m_overflow.OnDenied();
+  }
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
       m_idle.Take(send.upstream, request.IsIdempotent(), now);
