--- a/src/dispatch/object_memory.h
+++ b/src/dispatch/object_memory.h
@@ -63,9 +63,9 @@
 std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
                                       const std::vector<ObjectKeeper>& keepers);
 
-/** Upstreams on which an object is kept. One would bear its load; two more allow
+/** Upstreams on which an object is kept. One would bear its load; another allows
  * to avoid one that is slow or full at the moment. */
-inline constexpr std::size_t kCopies = 3;
+inline constexpr std::size_t kCopies = 2;
 
 }  // namespace kumquatcove
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -16,7 +16,7 @@
 // that aren't known here. Later ranks are used only when the first is crowded or
 // slow, so that most objects stay on one upstream.
 constexpr double kKeptFamiliarity = 0.95;
-constexpr std::array<double, kCopies> kUnseenFamiliarity = {0.6, 0.2, 0.1};
+constexpr std::array<double, kCopies> kUnseenFamiliarity = {0.6, 0.2};
 constexpr double kRecentFamiliarity = 0.5;
 // Objects that an upstream surely still has at hand.
 constexpr std::size_t kRecentObjects = 6;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -66,7 +66,7 @@
    * kept there. Work without the object at hand takes a slot several times as
    * long and displaces another object, so that under load it would cost more
    * capacity than it uses. */
-  static constexpr double kMaxStrayShare = 0.5;
+  static constexpr double kMaxStrayShare = 0.3;
 
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
