--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -67,9 +67,10 @@
        !upstream.pacer.IsDue(now, request.cold_rate))) {
     return false;
   }
-  const double share = keeper ? 1 + kMaxWaitingShare : kMaxStrayShare;
-  return UpstreamTable::EstimateOccupancy(upstream, now) <
-         upstream.registration.slots * share;
+  const double most =
+      keeper ? upstream.registration.slots * (1 + kMaxWaitingShare)
+             : kMaxStrayOccupancy;
+  return UpstreamTable::EstimateOccupancy(upstream, now) < most;
 }
 
 Placement::Plan Placement::MakePlan(const PlacementRequest& request,
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -62,11 +62,11 @@
    * What others send isn't known exactly, and an idle slot costs more than a
    * short wait. */
   static constexpr double kMaxWaitingShare = 0.35;
-  /** Share of its slots up to which an upstream gets requests whose object isn't
-   * kept there. Work without the object at hand takes a slot several times as
-   * long and displaces another object, so that under load it would cost more
-   * capacity than it uses. */
-  static constexpr double kMaxStrayShare = 0.3;
+  /** Requests that an upstream may have when it gets one whose object isn't kept
+   * there: none, but for what is left of old load reports. Work without the
+   * object at hand takes a slot several times as long and displaces another
+   * object, so that under load it would cost more capacity than it uses. */
+  static constexpr double kMaxStrayOccupancy = 0.05;
 
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
