Weigh waiting for an upstream against going elsewhere; overflow keepers

Change: an upstream without room is a candidate too, charged with the wait, and the request waits for it if it is the best; a third upstream, in another region, keeps each object while the first are full. What can't be answered in time by this forecast is refused at once.

--- a/src/dispatch/cold_start_pacer.h
+++ b/src/dispatch/cold_start_pacer.h
@@ -16,24 +16,20 @@
  */
 class ColdStartPacer {
  public:
-  /** Returns whether a request may be sent now, and takes it if so. `rate` is
-   * this instance's part in requests per second. */
-  bool TryTake(MonotonicTime now, double rate) {
-    if (!IsDue(now, rate)) {
-      return false;
-    }
-    m_last = now;
-    m_used = true;
-    return true;
-  }
-
-  /** Returns whether a request might be sent now. */
+  /** Returns whether a request may be sent now. `rate` is this instance's part in
+   * requests per second. */
   bool IsDue(MonotonicTime now, double rate) const {
     return rate > 0 &&
            (!m_used || now - m_last >= Duration(static_cast<std::int64_t>(
                                            1'000'000 / rate)));
   }
 
+  /** Notes a request. Precondition: IsDue. */
+  void Take(MonotonicTime now) {
+    m_last = now;
+    m_used = true;
+  }
+
  private:
   MonotonicTime m_last;
   bool m_used = false;
--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -42,6 +42,8 @@
   /** The caller waits no longer, or the route allows no more time. */
   MonotonicTime deadline;
   std::optional<ActiveSend> active;
+  /** Upstream for whose room it waits. */
+  std::optional<UpstreamId> awaited;
   /** The send that ended last, for the log. */
   std::optional<ActiveSend> last;
   /** Sends that reached an upstream. */
--- a/src/dispatch/object_memory.cc
+++ b/src/dispatch/object_memory.cc
@@ -48,7 +48,8 @@
 
 std::vector<UpstreamId> ChooseKeepers(
     ObjectHash object,
-    const std::vector<ObjectKeeper>& keepers) {
+    const std::vector<ObjectKeeper>& keepers,
+    std::size_t count) {
   std::vector<std::pair<double, UpstreamId>> ranked;
   ranked.reserve(keepers.size());
   for (const ObjectKeeper& keeper : keepers) {
@@ -62,7 +63,7 @@
         0x1p-53;
     ranked.emplace_back(-std::log(uniform) / keeper.weight, keeper.id);
   }
-  const std::size_t count = std::min(kCopies, ranked.size());
+  count = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end());
--- a/src/dispatch/object_memory.h
+++ b/src/dispatch/object_memory.h
@@ -54,18 +54,15 @@
 };
 
 /**
- * Returns the upstreams on which an object is kept, the first choice first.
+ * Returns up to `count` upstreams on which an object is kept, the first choice
+ * first.
  *
  * Weighted rendezvous hashing: every instance computes the same for the same
- * keepers, and one that comes or goes moves only its own objects. At most
- * kCopies are returned.
+ * keepers, and one that comes or goes moves only its own objects.
  */
 std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
-                                      const std::vector<ObjectKeeper>& keepers);
-
-/** Upstreams on which an object is kept. One would bear its load; another allows
- * to avoid one that is slow or full at the moment. */
-inline constexpr std::size_t kCopies = 2;
+                                      const std::vector<ObjectKeeper>& keepers,
+                                      std::size_t count);
 
 }  // namespace kumquatcove
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -16,7 +16,8 @@
 // that aren't known here. Later ranks are used only when the first is crowded or
 // slow, so that most objects stay on one upstream.
 constexpr double kKeptFamiliarity = 0.95;
-constexpr std::array<double, kCopies> kUnseenFamiliarity = {0.6, 0.2};
+constexpr std::array<double, Placement::kCopies + Placement::kOverflowCopies>
+    kUnseenFamiliarity = {0.6, 0.2, 0.1};
 constexpr double kRecentFamiliarity = 0.5;
 // Objects that an upstream surely still has at hand.
 constexpr std::size_t kRecentObjects = 6;
@@ -78,30 +79,39 @@
   Plan plan;
   // Cold and failing upstreams keep objects too: these must not move for their
   // sake.
-  RegionSlots slots;
   std::vector<const TrackedUpstream*> staying;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
     if (m_upstreams.IsStaying(upstream)) {
-      slots[upstream.region] += upstream.registration.slots;
       staying.push_back(&upstream);
     }
     if (upstream.region == m_region && IsAllowed(upstream, request, now)) {
       plan.region = m_region;
     }
   }
-  if (staying.empty() || request.object == 0) {
-    return plan;
+  if (!staying.empty() && request.object != 0) {
+    AddKeepers(request, staying, now, plan);
+  }
+  return plan;
+}
+
+void Placement::AddKeepers(const PlacementRequest& request,
+                           const std::vector<const TrackedUpstream*>& upstreams,
+                           MonotonicTime now,
+                           Plan& plan) const {
+  RegionSlots slots;
+  for (const TrackedUpstream* upstream : upstreams) {
+    slots[upstream->region] += upstream->registration.slots;
   }
   const RegionShares shares = PlanRegions(m_region, slots);
   std::vector<ObjectKeeper> keepers;
-  for (const TrackedUpstream* upstream : staying) {
+  for (const TrackedUpstream* upstream : upstreams) {
     keepers.push_back({upstream->registration.id,
                        upstream->registration.slots *
                            shares.at(upstream->region) /
                            slots[upstream->region]});
   }
-  plan.keepers = ChooseKeepers(request.object, keepers);
+  plan.keepers = ChooseKeepers(request.object, keepers, kCopies);
   for (const UpstreamId& id : plan.keepers) {
     const TrackedUpstream& keeper = *m_upstreams.Find(id);
     if (IsAllowed(keeper, request, now)) {
@@ -109,7 +119,19 @@
       break;
     }
   }
-  return plan;
+  std::vector<ObjectKeeper> overflow;
+  for (const TrackedUpstream* upstream : upstreams) {
+    if (upstream->region != plan.region) {
+      overflow.push_back({upstream->registration.id,
+                          static_cast<double>(upstream->registration.slots)});
+    }
+  }
+  for (const UpstreamId& id :
+       ChooseKeepers(request.object, overflow, kOverflowCopies)) {
+    if (!Contains(plan.keepers, id)) {
+      plan.keepers.push_back(id);
+    }
+  }
 }
 
 double Placement::EstimateFamiliarity(const TrackedUpstream& upstream,
@@ -118,7 +140,7 @@
   if (request.object == 0) {
     return 1;
   }
-  if (rank < kCopies) {
+  if (rank < kUnseenFamiliarity.size()) {
     return upstream.objects.Contains(request.object) ? kKeptFamiliarity
                                                      : kUnseenFamiliarity[rank];
   }
@@ -146,7 +168,9 @@
   const auto slots =
       static_cast<double>(std::max(upstream.registration.slots, 1));
   const double occupancy = UpstreamTable::EstimateOccupancy(upstream, now);
-  const double wait = std::max(0.0, occupancy + 1 - slots) *
+  // The other instances of the region are assumed to have as many waiting.
+  const double waiting = upstream.awaited * request.instances;
+  const double wait = std::max(0.0, occupancy + waiting + 1 - slots) *
                       (familiar_time * slowness) / slots;
   const double crowding =
       kCrowdingCost * work * std::pow(std::min(occupancy / slots, 1.0), 2);
@@ -187,15 +211,16 @@
     const auto place =
         std::find(plan.keepers.begin(), plan.keepers.end(), id);
     const bool keeper = request.object == 0 || place != plan.keepers.end();
-    if (!IsAllowed(upstream, request, now) ||
-        !HasRoom(upstream, request, keeper, now)) {
+    const bool has_room = HasRoom(upstream, request, keeper, now);
+    if (!IsAllowed(upstream, request, now) || (!keeper && !has_room)) {
       continue;
     }
     const std::size_t rank =
         place == plan.keepers.end()
-            ? kCopies
+            ? kUnseenFamiliarity.size()
             : static_cast<std::size_t>(place - plan.keepers.begin());
     Candidate candidate = Judge(upstream, request, rank, now);
+    candidate.choice.has_room = has_room;
     candidate.choice.overflow =
         !plan.region.IsEmpty() && upstream.region != plan.region;
     candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -28,6 +28,8 @@
   double cold_rate = 0;
   /** It may run in another region than the planned one. */
   bool may_overflow = true;
+  /** Instances of the region, whose requests wait for the same upstreams. */
+  int instances = 1;
 };
 
 /** Where a request goes, and what is expected there. */
@@ -40,6 +42,9 @@
   Duration work_time{0};
   /** Requests that the upstream is believed to have already. */
   double occupancy = 0;
+  /** The upstream can take the request now; otherwise it is best to wait for it.
+   */
+  bool has_room = false;
   /** It runs in another region than the planned one. */
   bool overflow = false;
   /** Another region would have been better, but it may not overflow. */
@@ -68,6 +73,12 @@
    * object, so that under load it would cost more capacity than it uses. */
   static constexpr double kMaxStrayOccupancy = 0.05;
 
+  /** Upstreams of the planned regions on which an object is kept. One would bear
+   * its load; another allows to avoid one that is slow or full at the moment. */
+  static constexpr std::size_t kCopies = 2;
+  /** Upstreams of other regions on which it is kept while the first are full. */
+  static constexpr std::size_t kOverflowCopies = 1;
+
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
             const ServiceTimes& times,
@@ -78,8 +89,8 @@
         m_distances(distances),
         m_region(std::move(region)) {}
 
-  /** Returns the best upstream; nothing if none that is permitted has room now.
-   */
+  /** Returns the best upstream, which may have no room yet; nothing if none is
+   * permitted. */
   std::optional<PlacementChoice> Choose(const PlacementRequest& request,
                                         MonotonicTime now,
                                         Random& random) const;
@@ -87,6 +98,13 @@
   /** Returns whether some upstream could take the request once it has room. */
   bool HasCandidate(const PlacementRequest& request, MonotonicTime now) const;
 
+  /** Returns whether an upstream on which the request's object is kept has room
+   * now. */
+  bool HasRoom(const TrackedUpstream& upstream,
+               const PlacementRequest& request,
+               bool keeper,
+               MonotonicTime now) const;
+
  private:
   struct Candidate {
     PlacementChoice choice;
@@ -103,11 +121,11 @@
   bool IsAllowed(const TrackedUpstream& upstream,
                  const PlacementRequest& request,
                  MonotonicTime now) const;
-  bool HasRoom(const TrackedUpstream& upstream,
-               const PlacementRequest& request,
-               bool keeper,
-               MonotonicTime now) const;
   Plan MakePlan(const PlacementRequest& request, MonotonicTime now) const;
+  void AddKeepers(const PlacementRequest& request,
+                  const std::vector<const TrackedUpstream*>& upstreams,
+                  MonotonicTime now,
+                  Plan& plan) const;
   /** `rank` is the upstream's place among the keepers, or their number. */
   double EstimateFamiliarity(const TrackedUpstream& upstream,
                              const PlacementRequest& request,
--- a/src/dispatch/region_overflow.cc
+++ b/src/dispatch/region_overflow.cc
@@ -7,7 +7,7 @@
 
 // Part of the platform's bound by which the limit moves in one window. Chance
 // alone moves the share of some hundred requests by a few hundredths.
-constexpr double kUsablePart = 0.4;
+constexpr double kUsablePart = 0.55;
 // Share that is allowed at once, as part of the bound.
 constexpr double kInitialPart = 0.25;
 constexpr Duration kAdjustInterval = Milliseconds(100);
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -186,23 +186,59 @@
 
 void RequestDispatcher::Enqueue(Context& context, DispatchRequest& request) {
   const MonotonicTime now = context.Now();
-  if (!m_placement.HasCandidate(request.placement, now)) {
+  const std::optional<PlacementChoice> choice = Choose(context, request);
+  if (!choice) {
     Refuse(context, request, RefusalReason::kNoUpstream, kMaxRetryAfter);
     return;
   }
-  WaitingQueue& queue = m_queues[request.service];
-  const std::int32_t priority = request.route->priority;
-  const Duration wait = queue.ForecastWait(priority, now);
-  const Duration work =
-      m_times.Expect(request.service, ObjectFamiliarity::kFamiliar);
-  if (now + wait + work > request.deadline) {
+  if (now + choice->completion > request.deadline) {
     Refuse(context, request, RefusalReason::kQueueFull,
-           std::clamp(wait, kMinRetryAfter, kMaxRetryAfter));
+           std::clamp(choice->completion, kMinRetryAfter, kMaxRetryAfter));
     return;
   }
-  const ServiceName service = request.service;
-  queue.Add(request.id, priority, request.arrived);
-  PlaceWaiting(context, service);
+  if (choice->has_room) {
+    Start(context, request, *choice);
+    return;
+  }
+  SetAwaited(request, choice->upstream);
+  m_queues[request.service].Add(request.id, request.route->priority,
+                                request.arrived);
+}
+
+std::optional<PlacementChoice> RequestDispatcher::Choose(
+    Context& context,
+    DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  SetAwaited(request, std::nullopt);
+  request.placement.cold_rate = ColdRate(request.service);
+  request.placement.may_overflow = m_overflow.IsAllowed(now);
+  request.placement.instances = m_counts.in_region;
+  std::optional<PlacementChoice> choice =
+      m_placement.Choose(request.placement, now, context.RandomNumbers());
+  if (choice && choice->overflow_denied) {
+    m_overflow.OnDenied();
+  }
+  return choice;
+}
+
+void RequestDispatcher::SetAwaited(DispatchRequest& request,
+                                   std::optional<UpstreamId> awaited) {
+  if (request.awaited) {
+    m_upstreams.OnAwaited(*request.awaited, -1);
+  }
+  if (awaited) {
+    m_upstreams.OnAwaited(*awaited, 1);
+  }
+  request.awaited = std::move(awaited);
+}
+
+bool RequestDispatcher::MayHaveRoom(const DispatchRequest& request,
+                                    MonotonicTime now) const {
+  const TrackedUpstream* upstream =
+      request.awaited ? m_upstreams.Find(*request.awaited) : nullptr;
+  return upstream == nullptr || !m_upstreams.IsOpen(*upstream, now) ||
+         m_placement.HasRoom(*upstream, request.placement, /*keeper=*/true,
+                             now);
 }
 
 void RequestDispatcher::PlaceWaiting(Context& context,
@@ -211,48 +247,49 @@
   if (found == m_queues.end() || found->second.IsEmpty()) {
     return;
   }
-  // Requests differ in the upstreams that they may still go to, so that one
-  // without a place doesn't stop those behind it; a few are enough to know that
-  // there is no room.
-  constexpr int kMaxFailures = 4;
+  // Choosing costs processor time, so that in each pass only a few requests look
+  // for another upstream than the awaited one; the oldest do first.
+  constexpr int kMaxFailures = 3;
   int failures = 0;
   for (const RequestId id : found->second.InOrder()) {
     DispatchRequest* request = Find(id);
     assert(request != nullptr);
-    if (TryStart(context, *request)) {
-      found->second.Remove(id);
-      found->second.NoteStarted(context.Now());
-    } else if (++failures >= kMaxFailures) {
-      return;
+    if (failures >= kMaxFailures && !MayHaveRoom(*request, context.Now())) {
+      continue;
+    }
+    if (!TryStart(context, *request)) {
+      ++failures;
     }
   }
 }
 
 bool RequestDispatcher::TryStart(Context& context, DispatchRequest& request) {
-  const MonotonicTime now = context.Now();
-  request.placement.cold_rate = ColdRate(request.service);
-  request.placement.may_overflow = m_overflow.IsAllowed(now);
-  std::optional<PlacementChoice> choice =
-      m_placement.Choose(request.placement, now, context.RandomNumbers());
+  const std::optional<PlacementChoice> choice = Choose(context, request);
   if (!choice) {
-    if (!request.placement.may_overflow) {
-      m_overflow.OnDenied();
-    }
     return false;
   }
-  TrackedUpstream& upstream = *m_upstreams.Find(choice->upstream);
-  if (m_upstreams.IsCold(upstream, now) &&
-      !upstream.pacer.TryTake(now, request.placement.cold_rate)) {
+  if (!choice->has_room) {
+    SetAwaited(request, choice->upstream);
     return false;
   }
+  m_queues[request.service].Remove(request.id);
+  Start(context, request, *choice);
+  return true;
+}
+
+void RequestDispatcher::Start(Context& context,
+                              DispatchRequest& request,
+                              PlacementChoice choice) {
+  const MonotonicTime now = context.Now();
+  TrackedUpstream& upstream = *m_upstreams.Find(choice.upstream);
+  if (m_upstreams.IsCold(upstream, now)) {
+    upstream.pacer.Take(now);
+  }
   ActiveSend send;
-  send.upstream = choice->upstream;
+  send.upstream = choice.upstream;
   send.started = now;
-  send.choice = std::move(*choice);
+  send.choice = std::move(choice);
   m_overflow.OnPlaced(send.choice.overflow, now);
-  if (send.choice.overflow_denied) {
-    m_overflow.OnDenied();
-  }
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
       m_idle.Take(send.upstream, request.IsIdempotent(), now);
@@ -266,7 +303,6 @@
                                 request.active->upstream,
                                 upstream.registration.address});
   }
-  return true;
 }
 
 void RequestDispatcher::Send(Context& context, DispatchRequest& request) {
@@ -522,7 +558,7 @@
   }
   m_queues[request.service].Add(request.id, request.route->priority,
                                 request.arrived);
-  PlaceWaiting(context, request.service);
+  TryStart(context, request);
   return true;
 }
 
@@ -600,7 +636,9 @@
     }
     return;
   }
-  if (now + kMinSendTime >= request.deadline) {
+  const Duration work =
+      m_times.Expect(request.service, ObjectFamiliarity::kFamiliar) / 2;
+  if (now + std::max(kMinSendTime, work) >= request.deadline) {
     Refuse(context, request, RefusalReason::kDeadlineExpired, kMinRetryAfter);
     return;
   }
@@ -659,6 +697,7 @@
   if (!request.service.IsEmpty()) {
     m_queues[request.service].Remove(request.id);
   }
+  SetAwaited(request, std::nullopt);
   const RequestId id = request.id;
   context.Emit(AnswerCaller{id, std::move(answer), retry_after});
   m_requests.erase(id);
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -93,8 +93,20 @@
 
   // Placement.
   void Enqueue(Context& context, DispatchRequest& request);
+  /** Places requests that wait for an upstream that has room now, and some of
+   * the others. */
   void PlaceWaiting(Context& context, const ServiceName& service);
+  bool MayHaveRoom(const DispatchRequest& request, MonotonicTime now) const;
+  /** Starts a send, or notes the upstream for which the request waits. */
   bool TryStart(Context& context, DispatchRequest& request);
+  /** Chooses an upstream and notes it as awaited. Returns nothing if there is
+   * none. */
+  std::optional<PlacementChoice> Choose(Context& context,
+                                        DispatchRequest& request);
+  void SetAwaited(DispatchRequest& request, std::optional<UpstreamId> awaited);
+  void Start(Context& context,
+             DispatchRequest& request,
+             PlacementChoice choice);
   void Send(Context& context, DispatchRequest& request);
   double ColdRate(const ServiceName& service) const;
 
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -45,8 +45,10 @@
   }
   if (restarted) {
     const int in_flight = upstream.in_flight;
+    const int awaited = upstream.awaited;
     upstream = TrackedUpstream{};
     upstream.in_flight = in_flight;
+    upstream.awaited = awaited;
     upstream.registered = now;
   }
   upstream.registration = registration;
@@ -114,6 +116,12 @@
   return IsStaying(upstream) && now >= upstream.avoid_until;
 }
 
+void UpstreamTable::OnAwaited(const UpstreamId& id, int change) {
+  if (TrackedUpstream* upstream = Find(id)) {
+    upstream->awaited = std::max(0, upstream->awaited + change);
+  }
+}
+
 void UpstreamTable::OnStarted(const UpstreamId& id) {
   if (TrackedUpstream* upstream = Find(id)) {
     ++upstream->in_flight;
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -24,6 +24,8 @@
   MonotonicTime registered;
   /** Requests of this instance that it has, or that wait for a connection. */
   int in_flight = 0;
+  /** Requests of this instance that wait for it to have room. */
+  int awaited = 0;
   /** Requests that this instance has sent to this incarnation. */
   int sent = 0;
   /** It is draining, or its row is gone: no new work. */
@@ -102,6 +104,8 @@
     return now < upstream.cold_until;
   }
 
+  /** Notes that a request waits for an upstream, or no longer. */
+  void OnAwaited(const UpstreamId& id, int change);
   /** Notes a request for an upstream, from the choice on. */
   void OnStarted(const UpstreamId& id);
   /** Notes the end of it. */
--- a/src/dispatch/waiting_queue.cc
+++ b/src/dispatch/waiting_queue.cc
@@ -1,8 +1,5 @@
 #include "dispatch/waiting_queue.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace kumquatcove {
 
 void WaitingQueue::Add(RequestId request,
@@ -30,18 +27,4 @@
   return requests;
 }
 
-Duration WaitingQueue::ForecastWait(std::int32_t priority,
-                                    MonotonicTime now) const {
-  const auto ahead = std::count_if(
-      m_places.begin(), m_places.end(),
-      [&](const auto& entry) { return entry.first.priority <= priority; });
-  if (ahead == 0) {
-    return Duration::zero();
-  }
-  // Without a start for a whole window, assume one for each window.
-  const double started = std::max(m_started.Sum(now), 1.0);
-  return Duration(std::llround(static_cast<double>(ahead) / started *
-                               static_cast<double>(kRateWindow.count())));
-}
-
 }  // namespace kumquatcove
