Serve first what can still meet its latency objective

Cause: while more is asked than fits, the oldest requests went first, and most were answered just after their objective, where an answer is worth a fifth. Change: within a priority, requests that can still meet the objective go first.

--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -201,8 +201,15 @@
     return;
   }
   SetAwaited(request, choice->upstream);
-  m_queues[request.service].Add(request.id, request.route->priority,
-                                request.arrived);
+  AddToQueue(request);
+}
+
+void RequestDispatcher::AddToQueue(const DispatchRequest& request) {
+  const Duration work =
+      m_times.Expect(request.service, ObjectFamiliarity::kFamiliar);
+  m_queues[request.service].Add(
+      request.id, request.route->priority, request.arrived,
+      request.arrived + request.route->latency_objective - work);
 }
 
 std::optional<PlacementChoice> RequestDispatcher::Choose(
@@ -251,7 +258,7 @@
   // for another upstream than the awaited one; the oldest do first.
   constexpr int kMaxFailures = 3;
   int failures = 0;
-  for (const RequestId id : found->second.InOrder()) {
+  for (const RequestId id : found->second.InOrder(context.Now())) {
     DispatchRequest* request = Find(id);
     assert(request != nullptr);
     if (failures >= kMaxFailures && !MayHaveRoom(*request, context.Now())) {
@@ -556,8 +563,7 @@
       !m_resends.TryTake(request.service, now, m_counts.in_total)) {
     return false;
   }
-  m_queues[request.service].Add(request.id, request.route->priority,
-                                request.arrived);
+  AddToQueue(request);
   TryStart(context, request);
   return true;
 }
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -93,6 +93,7 @@
 
   // Placement.
   void Enqueue(Context& context, DispatchRequest& request);
+  void AddToQueue(const DispatchRequest& request);
   /** Places requests that wait for an upstream that has room now, and some of
    * the others. */
   void PlaceWaiting(Context& context, const ServiceName& service);
--- a/src/dispatch/waiting_queue.cc
+++ b/src/dispatch/waiting_queue.cc
@@ -4,9 +4,10 @@
 
 void WaitingQueue::Add(RequestId request,
                        std::int32_t priority,
-                       MonotonicTime arrived) {
+                       MonotonicTime arrived,
+                       MonotonicTime useful_until) {
   const Place place{priority, arrived, request.number};
-  m_places[place] = request;
+  m_places[place] = {request, useful_until};
   m_requests[request] = place;
 }
 
@@ -18,12 +19,23 @@
   }
 }
 
-std::vector<RequestId> WaitingQueue::InOrder() const {
+std::vector<RequestId> WaitingQueue::InOrder(MonotonicTime now) const {
   std::vector<RequestId> requests;
   requests.reserve(m_places.size());
-  for (const auto& [place, request] : m_places) {
-    requests.push_back(request);
+  std::vector<RequestId> late;
+  const auto append_late = [&] {
+    requests.insert(requests.end(), late.begin(), late.end());
+    late.clear();
+  };
+  std::optional<std::int32_t> priority;
+  for (const auto& [place, entry] : m_places) {
+    if (priority != place.priority) {
+      append_late();
+      priority = place.priority;
+    }
+    (now < entry.useful_until ? requests : late).push_back(entry.request);
   }
+  append_late();
   return requests;
 }
 
