--- a/src/dispatch/cold_start_pacer.h
+++ b/src/dispatch/cold_start_pacer.h
@@ -16,8 +16,8 @@
  */
 class ColdStartPacer {
  public:
-  /** Returns whether a request may be sent now. `rate` is this instance's part in
-   * requests per second. */
+  /** Returns whether a request may be sent now. `rate` is this instance's part
+   * in requests per second. */
   bool IsDue(MonotonicTime now, double rate) const {
     return rate > 0 &&
            (!m_used || now - m_last >= Duration(static_cast<std::int64_t>(
--- a/src/dispatch/crash_suspicions.cc
+++ b/src/dispatch/crash_suspicions.cc
@@ -63,8 +63,7 @@
 bool CrashSuspicions::IsRejected(std::uint64_t content_hash,
                                  MonotonicTime now) const {
   const auto found = m_contents.find(content_hash);
-  return found != m_contents.end() &&
-         CountBreaks(content_hash) >= kMaxBreaks &&
+  return found != m_contents.end() && CountBreaks(content_hash) >= kMaxBreaks &&
          now < found->second.last_break + kRejectionTime;
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -9,8 +9,8 @@
  * each request. Placing (`Placement`), queueing and refusing (`WaitingQueue`),
  * resending (`ResendBudget`) and rejecting what crashes upstreams
  * (`CrashSuspicions`) are classes of their own without network or clock. Limits
- * that hold for all instances together are divided among them, so that they hold
- * without messages.
+ * that hold for all instances together are divided among them, so that they
+ * hold without messages.
  */
 #include "dispatch/cold_start_pacer.h"
 #include "dispatch/crash_suspicions.h"
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -20,7 +20,8 @@
 // which must pass between the end of readiness and the exit.
 constexpr Duration kLookupTimeToLive = Milliseconds(1000);
 constexpr int kLookupKeepFactor = 3;
-// Heartbeats and look-ups that are under way when this instance starts to leave.
+// Heartbeats and look-ups that are under way when this instance starts to
+// leave.
 constexpr Duration kLeavingMargin = Milliseconds(700);
 // Part of the time until SIGKILL in which requests are taken; the rest is for
 // finishing them.
@@ -189,10 +190,9 @@
       return;
     case StoreClientModule::kSuspicions:
       if (event.reply.status != StoreStatus::kOk) {
-        m_context.Record("suspicion_unpublished",
-                         m_context.Self().instance.Text(),
-                         {{"status",
-                           std::string(ToString(event.reply.status))}});
+        m_context.Record(
+            "suspicion_unpublished", m_context.Self().instance.Text(),
+            {{"status", std::string(ToString(event.reply.status))}});
       }
       return;
     case StoreClientModule::kConfiguration:
@@ -223,15 +223,15 @@
 
 void DispatchReducer::ApplyCallerLimits() {
   const CallerLimits& limits = m_registry.Routes()->Configuration().limits;
-  m_context.Emit(SetCallerLimits{
-      limits.max_header_bytes,
-      std::min(limits.max_body_bytes, kMaxBufferedBody), limits.idle_timeout,
-      m_intake});
+  m_context.Emit(
+      SetCallerLimits{limits.max_header_bytes,
+                      std::min(limits.max_body_bytes, kMaxBufferedBody),
+                      limits.idle_timeout, m_intake});
 }
 
 void DispatchReducer::HandleLookup(const LookupArrived& event) {
-  const Duration time_to_live = std::min(
-      kLookupTimeToLive, FromSeconds(m_settings.max_lookup_ttl_s));
+  const Duration time_to_live =
+      std::min(kLookupTimeToLive, FromSeconds(m_settings.max_lookup_ttl_s));
   m_context.Emit(AnswerLookup{
       event.request, m_presence.Answer(m_context, event.zone, time_to_live)});
 }
@@ -267,10 +267,9 @@
 
 void DispatchReducer::RemoveRegistration() {
   StoreTransaction transaction;
-  transaction.mutations.push_back(
-      {m_codec.KeyPrefix(RegistryTable::kEntries) +
-           m_context.Self().instance.Text(),
-       std::nullopt});
+  transaction.mutations.push_back({m_codec.KeyPrefix(RegistryTable::kEntries) +
+                                       m_context.Self().instance.Text(),
+                                   std::nullopt});
   m_context.CallStoreFor(StoreClientModule::kPresence,
                          StoreWrite{{std::move(transaction)}}, kPublishTimeout);
 }
@@ -313,9 +312,9 @@
                     m_context.Now() >= m_closed + kIntakeDelay;
   if (done || stopping >= grace - kKillMargin) {
     m_exited = true;
-    m_context.Record("instance_stopped", m_context.Self().instance.Text(),
-                     {{"pending",
-                       std::to_string(m_dispatcher.PendingCount())}});
+    m_context.Record(
+        "instance_stopped", m_context.Self().instance.Text(),
+        {{"pending", std::to_string(m_dispatcher.PendingCount())}});
     m_context.Emit(Exit{});
   }
 }
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -29,9 +29,9 @@
  * All decisions of one entry instance on a deployment whose platform keeps the
  * routes and registers the upstreams.
  *
- * Same contract as NodeReducer: the same events with the same times and settings
- * give the same effects; no function blocks, reads a clock or does I/O. Thread
- * safety: none; the driver passes one event at a time.
+ * Same contract as NodeReducer: the same events with the same times and
+ * settings give the same effects; no function blocks, reads a clock or does
+ * I/O. Thread safety: none; the driver passes one event at a time.
  */
 class DispatchReducer {
  public:
--- a/src/dispatch/idle_connections.cc
+++ b/src/dispatch/idle_connections.cc
@@ -26,9 +26,8 @@
     return std::nullopt;
   }
   const Idle newest = found->second.back();
-  const bool fit =
-      now < newest.usable_until &&
-      (idempotent || now < newest.since + kMaxIdleNonIdempotent);
+  const bool fit = now < newest.usable_until &&
+                   (idempotent || now < newest.since + kMaxIdleNonIdempotent);
   if (!fit) {
     return std::nullopt;
   }
--- a/src/dispatch/idle_connections.h
+++ b/src/dispatch/idle_connections.h
@@ -17,14 +17,15 @@
  *
  * An upstream may close an idle connection just as a request is sent on it, and
  * whether that request ran is then unknown. So each connection is used again
- * only well before its upstream's idle timeout, and for a non-idempotent request
- * only if it was in use just before. Thread safety: none.
+ * only well before its upstream's idle timeout, and for a non-idempotent
+ * request only if it was in use just before. Thread safety: none.
  */
 class IdleConnections {
  public:
   /** Longest idle time before a non-idempotent request. */
   static constexpr Duration kMaxIdleNonIdempotent = Milliseconds(1500);
-  /** Longest idle time before any request, if the upstream states no timeout. */
+  /** Longest idle time before any request, if the upstream states no timeout.
+   */
   static constexpr Duration kMaxIdle = Seconds(4);
   /** Part of a stated timeout that is used. */
   static constexpr double kUsableShare = 0.5;
--- a/src/dispatch/object_memory.cc
+++ b/src/dispatch/object_memory.cc
@@ -46,10 +46,9 @@
   return false;
 }
 
-std::vector<UpstreamId> ChooseKeepers(
-    ObjectHash object,
-    const std::vector<ObjectKeeper>& keepers,
-    std::size_t count) {
+std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
+                                      const std::vector<ObjectKeeper>& keepers,
+                                      std::size_t count) {
   std::vector<std::pair<double, UpstreamId>> ranked;
   ranked.reserve(keepers.size());
   for (const ObjectKeeper& keeper : keepers) {
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -10,11 +10,11 @@
 namespace kumquatcove {
 namespace {
 
-// Probabilities that an upstream has an object at hand: on one where it is kept,
-// if this instance has sent it there, or else by its rank among those; and on
-// another to which it was sent lately. Instances send other objects meanwhile
-// that aren't known here. Later ranks are used only when the first is crowded or
-// slow, so that most objects stay on one upstream.
+// Probabilities that an upstream has an object at hand: on one where it is
+// kept, if this instance has sent it there, or else by its rank among those;
+// and on another to which it was sent lately. Instances send other objects
+// meanwhile that aren't known here. Later ranks are used only when the first is
+// crowded or slow, so that most objects stay on one upstream.
 constexpr double kKeptFamiliarity = 0.95;
 constexpr std::array<double, Placement::kCopies + Placement::kOverflowCopies>
     kUnseenFamiliarity = {0.6, 0.2, 0.1};
@@ -68,9 +68,9 @@
        !upstream.pacer.IsDue(now, request.cold_rate))) {
     return false;
   }
-  const double most =
-      keeper ? upstream.registration.slots * (1 + kMaxWaitingShare)
-             : kMaxStrayOccupancy;
+  const double most = keeper
+                          ? upstream.registration.slots * (1 + kMaxWaitingShare)
+                          : kMaxStrayOccupancy;
   return UpstreamTable::EstimateOccupancy(upstream, now) < most;
 }
 
@@ -106,10 +106,10 @@
   const RegionShares shares = PlanRegions(m_region, slots);
   std::vector<ObjectKeeper> keepers;
   for (const TrackedUpstream* upstream : upstreams) {
-    keepers.push_back({upstream->registration.id,
-                       upstream->registration.slots *
-                           shares.at(upstream->region) /
-                           slots[upstream->region]});
+    keepers.push_back(
+        {upstream->registration.id, upstream->registration.slots *
+                                        shares.at(upstream->region) /
+                                        slots[upstream->region]});
   }
   plan.keepers = ChooseKeepers(request.object, keepers, kCopies);
   for (const UpstreamId& id : plan.keepers) {
@@ -176,8 +176,8 @@
       kCrowdingCost * work * std::pow(std::min(occupancy / slots, 1.0), 2);
   const double failing = std::min(
       UpstreamTable::EstimateFailureShare(upstream, now), kMaxFailureShare);
-  const double rejection = failing / (1 - failing) *
-                           static_cast<double>(kRejectionCost.count());
+  const double rejection =
+      failing / (1 - failing) * static_cast<double>(kRejectionCost.count());
   const ZoneName& zone = upstream.registration.zone;
   const auto round_trip =
       static_cast<double>(m_distances.RoundTrip(zone).count());
@@ -189,7 +189,8 @@
                                      : ObjectFamiliarity::kUnknown;
   candidate.choice.occupancy = occupancy;
   candidate.choice.work_time = Duration(std::llround(work));
-  candidate.choice.completion = Duration(std::llround(round_trip + wait + work));
+  candidate.choice.completion =
+      Duration(std::llround(round_trip + wait + work));
   candidate.cost_us =
       round_trip + wait + work + crowding + rejection +
       static_cast<double>(m_distances.CrossingCost(zone).count());
@@ -208,8 +209,7 @@
   std::optional<Candidate> best_planned;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    const auto place =
-        std::find(plan.keepers.begin(), plan.keepers.end(), id);
+    const auto place = std::find(plan.keepers.begin(), plan.keepers.end(), id);
     const bool keeper = request.object == 0 || place != plan.keepers.end();
     const bool has_room = HasRoom(upstream, request, keeper, now);
     if (!IsAllowed(upstream, request, now) || (!keeper && !has_room)) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -42,7 +42,8 @@
   Duration work_time{0};
   /** Requests that the upstream is believed to have already. */
   double occupancy = 0;
-  /** The upstream can take the request now; otherwise it is best to wait for it.
+  /** The upstream can take the request now; otherwise it is best to wait for
+   * it.
    */
   bool has_room = false;
   /** It runs in another region than the planned one. */
@@ -56,27 +57,30 @@
  *
  * Answers the load of many small upstreams that differ in distance, in the
  * objects that they have handled lately, and in the speed of their machines at
- * the moment: each candidate is charged its round trip, the wait for a slot, the
- * work with or without the object at hand, and the risk of a rejection; crossing
- * to another zone or region costs extra, since its bytes do. Objects are kept on
- * few upstreams of each region, alike at all instances. Thread safety: none.
+ * the moment: each candidate is charged its round trip, the wait for a slot,
+ * the work with or without the object at hand, and the risk of a rejection;
+ * crossing to another zone or region costs extra, since its bytes do. Objects
+ * are kept on few upstreams of each region, alike at all instances. Thread
+ * safety: none.
  */
 class Placement {
  public:
-  /** Requests beyond its slots that an upstream may get, as a share of the slots.
-   * What others send isn't known exactly, and an idle slot costs more than a
-   * short wait. */
+  /** Requests beyond its slots that an upstream may get, as a share of the
+   * slots. What others send isn't known exactly, and an idle slot costs more
+   * than a short wait. */
   static constexpr double kMaxWaitingShare = 0.35;
-  /** Requests that an upstream may have when it gets one whose object isn't kept
-   * there: none, but for what is left of old load reports. Work without the
-   * object at hand takes a slot several times as long and displaces another
+  /** Requests that an upstream may have when it gets one whose object isn't
+   * kept there: none, but for what is left of old load reports. Work without
+   * the object at hand takes a slot several times as long and displaces another
    * object, so that under load it would cost more capacity than it uses. */
   static constexpr double kMaxStrayOccupancy = 0.05;
 
-  /** Upstreams of the planned regions on which an object is kept. One would bear
-   * its load; another allows to avoid one that is slow or full at the moment. */
+  /** Upstreams of the planned regions on which an object is kept. One would
+   * bear its load; another allows to avoid one that is slow or full at the
+   * moment. */
   static constexpr std::size_t kCopies = 2;
-  /** Upstreams of other regions on which it is kept while the first are full. */
+  /** Upstreams of other regions on which it is kept while the first are full.
+   */
   static constexpr std::size_t kOverflowCopies = 1;
 
   /** The references must outlive this object. */
@@ -111,8 +115,8 @@
     double cost_us = 0;
   };
 
-  /** Upstreams on which the request's object is kept, and the region in which it
-   * is to run; empty if every region will do. */
+  /** Upstreams on which the request's object is kept, and the region in which
+   * it is to run; empty if every region will do. */
   struct Plan {
     std::vector<UpstreamId> keepers;
     RegionName region;
--- a/src/dispatch/region_overflow.cc
+++ b/src/dispatch/region_overflow.cc
@@ -36,10 +36,9 @@
   if (passed < kAdjustInterval) {
     return;
   }
-  const double step =
-      m_max_shift * kUsablePart *
-      std::min(1.0, static_cast<double>(passed.count()) /
-                        static_cast<double>(kWindow.count()));
+  const double step = m_max_shift * kUsablePart *
+                      std::min(1.0, static_cast<double>(passed.count()) /
+                                        static_cast<double>(kWindow.count()));
   m_adjusted = now;
   const double initial = m_max_shift * kInitialPart;
   m_limit = std::clamp(m_limit + (m_denied ? step : -step), initial, 1.0);
--- a/src/dispatch/region_overflow.h
+++ b/src/dispatch/region_overflow.h
@@ -7,8 +7,8 @@
 namespace kumquatcove {
 
 /**
- * Limits how fast requests of this instance's callers move to other regions than
- * the planned ones.
+ * Limits how fast requests of this instance's callers move to other regions
+ * than the planned ones.
  *
  * The platform bounds the share of a region's requests that change the region
  * from one window of two seconds to the next. Each instance keeps its own share
@@ -21,12 +21,14 @@
   /** The platform's window. */
   static constexpr Duration kWindow = Seconds(2);
 
-  /** `max_shift` is the greatest share that may move within a window, 0 to 1. */
+  /** `max_shift` is the greatest share that may move within a window, 0 to 1.
+   */
   explicit RegionOverflow(double max_shift);
 
   void SetMaxShift(double max_shift) { m_max_shift = max_shift; }
 
-  /** Returns whether a request may run in another region than the planned one. */
+  /** Returns whether a request may run in another region than the planned one.
+   */
   bool IsAllowed(MonotonicTime now) const;
 
   /** Notes a request that was placed. */
--- a/src/dispatch/region_plan.cc
+++ b/src/dispatch/region_plan.cc
@@ -12,11 +12,10 @@
   }
   assert(total > 0);
   const auto home_entry = slots.find(home);
-  const double home_slots =
-      home_entry == slots.end() ? 0 : home_entry->second;
+  const double home_slots = home_entry == slots.end() ? 0 : home_entry->second;
   // Callers may be in a region without upstreams of the service.
-  const auto regions = static_cast<double>(
-      slots.size() + (home_entry == slots.end() ? 1 : 0));
+  const auto regions =
+      static_cast<double>(slots.size() + (home_entry == slots.end() ? 1 : 0));
   const double fair = total / regions;
 
   RegionShares shares;
@@ -32,9 +31,8 @@
     if (region == home) {
       continue;
     }
-    const double part = surplus > 0
-                            ? std::max(0.0, count - fair) / surplus
-                            : count / (total - home_slots);
+    const double part = surplus > 0 ? std::max(0.0, count - fair) / surplus
+                                    : count / (total - home_slots);
     shares[region] = (1 - at_home) * part;
   }
   return shares;
--- a/src/dispatch/region_plan.h
+++ b/src/dispatch/region_plan.h
@@ -26,8 +26,8 @@
 RegionShares PlanRegions(const RegionName& home, const RegionSlots& slots);
 
 /** How far a region may be filled above the mean of all regions before its
- * requests are sent elsewhere: crossing costs time and bytes, and upstreams that
- * have their objects at hand are far from full. */
+ * requests are sent elsewhere: crossing costs time and bytes, and upstreams
+ * that have their objects at hand are far from full. */
 inline constexpr double kHomePreference = 1.2;
 
 }  // namespace kumquatcove
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -98,10 +98,14 @@
    * the others. */
   void PlaceWaiting(Context& context, const ServiceName& service);
   bool MayHaveRoom(const DispatchRequest& request, MonotonicTime now) const;
-  /** Starts a send, or notes the upstream for which the request waits. */
+  /** Starts a send, or notes the upstream for which the request waits, or
+   * refuses the request if that would take too long. */
   bool TryStart(Context& context, DispatchRequest& request);
-  /** Chooses an upstream and notes it as awaited. Returns nothing if there is
-   * none. */
+  void RefuseForLackOfRoom(Context& context,
+                           DispatchRequest& request,
+                           const PlacementChoice& choice);
+  /** Chooses an upstream; the request awaits none afterwards. Returns nothing
+   * if there is none. */
   std::optional<PlacementChoice> Choose(Context& context,
                                         DispatchRequest& request);
   void SetAwaited(DispatchRequest& request, std::optional<UpstreamId> awaited);
@@ -139,9 +143,7 @@
               DispatchRequest& request,
               RefusalReason reason,
               Duration retry_after);
-  void Deliver(Context& context,
-               DispatchRequest& request,
-               HttpAnswer answer);
+  void Deliver(Context& context, DispatchRequest& request, HttpAnswer answer);
   void Finish(Context& context,
               DispatchRequest& request,
               CallerAnswer answer,
--- a/src/dispatch/resend_budget.h
+++ b/src/dispatch/resend_budget.h
@@ -14,9 +14,9 @@
  * Bounds how often requests are sent once more, over all entry instances.
  *
  * A service may get `resend_ratio` of its requests and `resend_extra` more in
- * any window. Each instance uses the ratio of its own requests and an equal part
- * of the rest, so that no instance needs to know what the others send. Thread
- * safety: none.
+ * any window. Each instance uses the ratio of its own requests and an equal
+ * part of the rest, so that no instance needs to know what the others send.
+ * Thread safety: none.
  */
 class ResendBudget {
  public:
--- a/src/dispatch/service_splitter.h
+++ b/src/dispatch/service_splitter.h
@@ -13,8 +13,8 @@
 /**
  * Divides the requests of a route among its services by their weights.
  *
- * Smooth weighted round robin: after any number of requests each service is less
- * than one request off its share, also while a service is short of slots.
+ * Smooth weighted round robin: after any number of requests each service is
+ * less than one request off its share, also while a service is short of slots.
  * Thread safety: none.
  */
 class ServiceSplitter {
--- a/src/dispatch/sliding_count.cc
+++ b/src/dispatch/sliding_count.cc
@@ -15,8 +15,7 @@
 
 void SlidingCount::Add(MonotonicTime now, double amount) {
   const std::int64_t number = NumberOf(now);
-  Slice& slice =
-      m_slices[static_cast<std::size_t>(number) % m_slices.size()];
+  Slice& slice = m_slices[static_cast<std::size_t>(number) % m_slices.size()];
   if (slice.number != number) {
     slice = {number, 0};
   }
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -37,8 +37,7 @@
   const auto [entry, inserted] = m_upstreams.try_emplace(registration.id);
   TrackedUpstream& upstream = entry->second;
   const bool restarted =
-      inserted ||
-      upstream.registration.started_ms != registration.started_ms ||
+      inserted || upstream.registration.started_ms != registration.started_ms ||
       upstream.registration.address != registration.address;
   if (!inserted && upstream.registration.service != registration.service) {
     Unlist(upstream.registration.service, registration.id);
@@ -156,9 +155,9 @@
   if (upstream == nullptr) {
     return;
   }
-  upstream->others_reported = std::max(
-      0.0, static_cast<double>(report.running + report.waiting) -
-               upstream->in_flight);
+  upstream->others_reported =
+      std::max(0.0, static_cast<double>(report.running + report.waiting) -
+                        upstream->in_flight);
   upstream->others_average +=
       (upstream->others_reported - upstream->others_average) * kOthersWeight;
   upstream->work_time_ratio =
@@ -217,9 +216,8 @@
                                        MonotonicTime now) {
   const double judged = Remaining(now - upstream.judged, kJudgementLife);
   const double speed =
-      upstream.has_report
-          ? Remaining(now - upstream.reported, kSpeedReportLife)
-          : 0;
+      upstream.has_report ? Remaining(now - upstream.reported, kSpeedReportLife)
+                          : 0;
   return (1 + (upstream.slowness - 1) * judged) *
          (1 + (upstream.work_time_ratio - 1) * speed);
 }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -81,8 +81,8 @@
   void OnGone(const UpstreamId& id);
   void SetEvacuated(const ZoneName& zone, bool evacuated);
 
-  /** Returns an upstream, or null. The pointer is valid until the next call that
-   * isn't const. */
+  /** Returns an upstream, or null. The pointer is valid until the next call
+   * that isn't const. */
   TrackedUpstream* Find(const UpstreamId& id);
   const TrackedUpstream* Find(const UpstreamId& id) const;
 
@@ -93,8 +93,8 @@
    * its zone go; it may still be cold or full. */
   bool IsOpen(const TrackedUpstream& upstream, MonotonicTime now) const;
 
-  /** Returns whether an upstream belongs to those that will get work, even if it
-   * can't at the moment. */
+  /** Returns whether an upstream belongs to those that will get work, even if
+   * it can't at the moment. */
   bool IsStaying(const TrackedUpstream& upstream) const {
     return !upstream.leaving && !upstream.displaced &&
            !m_evacuated.contains(upstream.registration.zone);
--- a/src/dispatch/waiting_queue.h
+++ b/src/dispatch/waiting_queue.h
@@ -22,8 +22,8 @@
  */
 class WaitingQueue {
  public:
-  /** Adds a request; 0 is the most urgent priority. Once `useful_until` has passed
-   * it can't be answered within its objective any more. */
+  /** Adds a request; 0 is the most urgent priority. Once `useful_until` has
+   * passed it can't be answered within its objective any more. */
   void Add(RequestId request,
            std::int32_t priority,
            MonotonicTime arrived,
--- a/src/platform/user_platform_dialect.cc
+++ b/src/platform/user_platform_dialect.cc
@@ -117,8 +117,8 @@
 }
 
 HttpAnswer WriteRefusal(const AnswerCaller& answer) {
-  HttpAnswer http = MakeErrorAnswer(StatusOf(answer.answer),
-                                    ToString(answer.answer.reason));
+  HttpAnswer http =
+      MakeErrorAnswer(StatusOf(answer.answer), ToString(answer.answer.reason));
   if (answer.retry_after) {
     const double seconds =
         static_cast<double>(answer.retry_after->count()) / 1'000'000;
@@ -176,12 +176,10 @@
  * the upstream's answer. */
 bool ReadAnswer(const HttpAnswer& answer, UpstreamAnswered& event) {
   event.wrong_upstream = answer.status == kMisdirected;
-  event.not_executed =
-      !FindHeader(answer.headers, kNotExecutedHeader).empty();
+  event.not_executed = !FindHeader(answer.headers, kNotExecutedHeader).empty();
   event.load = ReadLoad(FindHeader(answer.headers, kLoadHeader));
   event.idle_limit = ReadIdleLimit(FindHeader(answer.headers, "Keep-Alive"));
-  const bool encoded =
-      !FindHeader(answer.headers, "Content-Encoding").empty();
+  const bool encoded = !FindHeader(answer.headers, "Content-Encoding").empty();
   const bool sealed = !FindHeader(answer.headers, kSealHeader).empty();
   return !encoded && (sealed || !IsSuccess(answer.status));
 }
--- a/src/platform/user_registry_codec.cc
+++ b/src/platform/user_registry_codec.cc
@@ -46,7 +46,8 @@
 std::string Text(const json::object& object, std::string_view name) {
   const json::value& value = Field(object, name);
   if (!value.is_string()) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't a text"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't a text"));
   }
   return std::string(std::string_view(value.get_string()));
 }
@@ -54,7 +55,8 @@
 double Number(const json::object& object, std::string_view name) {
   const json::value& value = Field(object, name);
   if (!value.is_number()) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't a number"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't a number"));
   }
   return value.to_number<double>();
 }
@@ -63,7 +65,8 @@
   const double number = Number(object, name);
   constexpr double kMaxExact = 9'007'199'254'740'992;
   if (std::trunc(number) != number || std::abs(number) > kMaxExact) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't a whole number"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't a whole number"));
   }
   return static_cast<std::int64_t>(number);
 }
@@ -73,7 +76,8 @@
   const double seconds = Number(object, name);
   constexpr double kMaxSeconds = 1e9;
   if (!(seconds >= 0 && seconds <= kMaxSeconds)) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't a time"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't a time"));
   }
   return Duration(std::llround(seconds * 1'000'000));
 }
@@ -81,7 +85,8 @@
 const json::object& Object(const json::object& object, std::string_view name) {
   const json::value& value = Field(object, name);
   if (!value.is_object()) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't an object"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't an object"));
   }
   return value.get_object();
 }
@@ -95,7 +100,8 @@
     return kNone;
   }
   if (!found->is_array()) {
-    throw FieldError(absl::StrCat("field ", std::string(name), " isn't a list"));
+    throw FieldError(
+        absl::StrCat("field ", std::string(name), " isn't a list"));
   }
   return found->get_array();
 }
@@ -111,8 +117,7 @@
 std::int64_t Version(const json::object& object) {
   const std::string text = Text(object, "version");
   std::int64_t number = 0;
-  if (!text.starts_with("r") ||
-      !absl::SimpleAtoi(text.substr(1), &number)) {
+  if (!text.starts_with("r") || !absl::SimpleAtoi(text.substr(1), &number)) {
     throw FieldError("version '" + text + "' isn't r and a number");
   }
   return number;
--- a/src/platform/user_store_codec.cc
+++ b/src/platform/user_store_codec.cc
@@ -62,9 +62,9 @@
   HttpRequest operator()(const StoreRead& read) const {
     assert(read.keys.size() == 1);
     const TableKey place = SplitKey(read.keys[0]);
-    return MakeGet(absl::StrCat("/kumquatcove/rows-get?table=",
-                                EscapeQuery(place.table), "&part=&from=",
-                                EscapeQuery(place.key), "&limit=1"));
+    return MakeGet(
+        absl::StrCat("/kumquatcove/rows-get?table=", EscapeQuery(place.table),
+                     "&part=&from=", EscapeQuery(place.key), "&limit=1"));
   }
 
   HttpRequest operator()(const StoreScan& scan) const {
@@ -73,8 +73,7 @@
                      EscapeQuery(SplitKey(scan.prefix).table), "&part=");
     if (!scan.after.empty()) {
       // The call's range includes its first key, which the reader leaves out.
-      absl::StrAppend(&target,
-                      "&from=", EscapeQuery(SplitKey(scan.after).key));
+      absl::StrAppend(&target, "&from=", EscapeQuery(SplitKey(scan.after).key));
     }
     return MakeGet(std::move(target));
   }
@@ -240,8 +239,7 @@
     reply.status = StoreStatus::kOk;
     return reply;
   } catch (const std::exception& error) {
-    LogWarning(
-        LogLine("store_reply_invalid").Add("problem", error.what()));
+    LogWarning(LogLine("store_reply_invalid").Add("problem", error.what()));
     return StoreReply{};
   }
 }
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -88,14 +88,10 @@
   std::string attempt;
   friend bool operator==(const SendUpstream&, const SendUpstream&) = default;
 };
-BOOST_DESCRIBE_STRUCT(SendUpstream,
-                      (),
-                      (connection,
-                       send_before,
-                       patience,
-                       http,
-                       upstream,
-                       attempt))
+BOOST_DESCRIBE_STRUCT(
+    SendUpstream,
+    (),
+    (connection, send_before, patience, http, upstream, attempt))
 
 /** Closes a connection; nothing is reported for it afterwards. */
 struct CloseConnection {
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -43,7 +43,8 @@
   static constexpr std::string_view kName = "request_arrived";
   RequestId request;
   HttpRequest http;
-  /** Id that the caller gave to this send of its request; empty if it gave none.
+  /** Id that the caller gave to this send of its request; empty if it gave
+   * none.
    */
   std::string attempt;
   /** What the request is about, where callers say so: requests with the same
--- a/src/protocol/store_operation.h
+++ b/src/protocol/store_operation.h
@@ -111,13 +111,8 @@
 };
 BOOST_DESCRIBE_STRUCT(ObjectPut, (), (key, content))
 
-using StoreOperation =
-    std::variant<StoreRead,
-                                    StoreScan,
-                                    StoreWatch,
-                                    StoreWrite,
-                                    ObjectGet,
-                                    ObjectPut>;
+using StoreOperation = std::
+    variant<StoreRead, StoreScan, StoreWatch, StoreWrite, ObjectGet, ObjectPut>;
 
 /** How an operation ended, as far as this instance can tell. */
 enum class StoreStatus {
@@ -133,11 +128,11 @@
 };
 
 constexpr auto EnumNames(StoreStatus) {
-  return std::array{EnumName<StoreStatus>{StoreStatus::kOk, "ok"},
-                    EnumName<StoreStatus>{StoreStatus::kRefused, "refused"},
-                    EnumName<StoreStatus>{StoreStatus::kUnknown, "unknown"},
-                    EnumName<StoreStatus>{StoreStatus::kHistoryLost,
-                                          "history-lost"}};
+  return std::array{
+      EnumName<StoreStatus>{StoreStatus::kOk, "ok"},
+      EnumName<StoreStatus>{StoreStatus::kRefused, "refused"},
+      EnumName<StoreStatus>{StoreStatus::kUnknown, "unknown"},
+      EnumName<StoreStatus>{StoreStatus::kHistoryLost, "history-lost"}};
 }
 
 /** Result of one transaction; `rows` holds the rows of its conditions as they
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -42,9 +42,9 @@
   const bool known = m_entries.contains(entry.instance);
   m_entries[entry.instance].registration = entry;
   if (!known) {
-    context.Record("entry_registered", entry.instance.Text(),
-                   {{"zone", entry.zone.Text()},
-                    {"address", entry.caller_address}});
+    context.Record(
+        "entry_registered", entry.instance.Text(),
+        {{"zone", entry.zone.Text()}, {"address", entry.caller_address}});
     m_next_heartbeat = context.Now();
   }
 }
--- a/src/registry/fake_registry_codec.h
+++ b/src/registry/fake_registry_codec.h
@@ -39,8 +39,9 @@
     std::istringstream in(row.value);
     switch (table) {
       case RegistryTable::kOperator:
-        return name == "config" ? ReadRoutes(in)
-                                : RegistryRecord(ZoneEvacuation{ZoneName(name)});
+        return name == "config"
+                   ? ReadRoutes(in)
+                   : RegistryRecord(ZoneEvacuation{ZoneName(name)});
       case RegistryTable::kUpstreams:
         return ReadUpstream(name, in);
       case RegistryTable::kEntries:
@@ -65,9 +66,8 @@
     while (in >> route.host >> route.prefix >> service >> request_class) {
       route.name = route.host + route.prefix;
       route.services = {{ServiceName(service), 1}};
-      route.request_class = request_class == "i"
-                                ? RequestClass::kIdempotent
-                                : RequestClass::kNonIdempotent;
+      route.request_class = request_class == "i" ? RequestClass::kIdempotent
+                                                 : RequestClass::kNonIdempotent;
       route.max_upstreams = max_upstreams;
       route.timeout = timeout;
       route.latency_objective = Milliseconds(250);
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -4,10 +4,11 @@
 /**
  * Module `registry`: what the platform's store says of a deployment.
  *
- * On a deployment of this kind the platform keeps the routes, upstreams register
- * themselves, and entry instances find each other in the store. `RegistrySync`
- * follows those tables and turns their rows, read by a `RegistryCodec`, into
- * changes; `EntryPresence` knows which entry instances are alive.
+ * On a deployment of this kind the platform keeps the routes, upstreams
+ * register themselves, and entry instances find each other in the store.
+ * `RegistrySync` follows those tables and turns their rows, read by a
+ * `RegistryCodec`, into changes; `EntryPresence` knows which entry instances
+ * are alive.
  */
 #include "registry/entry_presence.h"
 #include "registry/registry_codec.h"
--- a/src/registry/registry_record.h
+++ b/src/registry/registry_record.h
@@ -47,8 +47,8 @@
   bool draining = false;
   /** Time for which it still bears few requests, from the time of the row. */
   Duration cold_left{0};
-  /** Start of the upstream in milliseconds since the Unix epoch; one that starts
-   * again under the same id has forgotten everything. */
+  /** Start of the upstream in milliseconds since the Unix epoch; one that
+   * starts again under the same id has forgotten everything. */
   std::int64_t started_ms = 0;
   /** Grows with each write of the row by the same start of the upstream. */
   std::int64_t sequence = 0;
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -10,7 +10,6 @@
 // Changes by the operator are rare and must be in force soon.
 constexpr Duration kNoPause = Duration(0);
 
-
 }  // namespace
 
 /** Turns a record into a change. */
@@ -58,13 +57,13 @@
     }
     newest->second = position;
     sync.m_lapsed.erase(registration.id);
-    context.Record("upstream_registered", registration.id.Text(),
-                   {{"service", registration.service.Text()},
-                    {"address", registration.address},
-                    {"draining", registration.draining ? "true" : "false"},
-                    {"cold_left_us",
-                     std::to_string(registration.cold_left.count())},
-                    {"store_version", std::to_string(row.version)}});
+    context.Record(
+        "upstream_registered", registration.id.Text(),
+        {{"service", registration.service.Text()},
+         {"address", registration.address},
+         {"draining", registration.draining ? "true" : "false"},
+         {"cold_left_us", std::to_string(registration.cold_left.count())},
+         {"store_version", std::to_string(row.version)}});
     sync.m_changes.push_back(UpstreamRegistered{std::move(registration)});
   }
 
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -58,9 +58,10 @@
  *
  * Versions of the configuration never go back. While the store is away the last
  * state holds. Upstreams can't renew their rows then, so that many rows lapse
- * together; these count as gone only once kReturnTime has passed since the store
- * is back. Where few rows are missing after an outage, it was this instance that
- * was cut off, and they are gone. Thread safety: none; owned by one reducer.
+ * together; these count as gone only once kReturnTime has passed since the
+ * store is back. Where few rows are missing after an outage, it was this
+ * instance that was cut off, and they are gone. Thread safety: none; owned by
+ * one reducer.
  */
 class RegistrySync {
  public:
@@ -68,8 +69,8 @@
    * away; the platform states about two seconds. */
   static constexpr Duration kReturnTime = Milliseconds(2200);
 
-  /** Upstreams that are left after an outage, as a share of those before it, from
-   * which on the others are taken to be gone and not to have lapsed. */
+  /** Upstreams that are left after an outage, as a share of those before it,
+   * from which on the others are taken to be gone and not to have lapsed. */
   static constexpr double kMinRemaining = 0.72;
 
   /** `codec` must outlive this object. */
--- a/src/registry/route_table.cc
+++ b/src/registry/route_table.cc
@@ -26,9 +26,8 @@
 
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view path) const {
-  const auto found =
-      m_hosts.find(absl::AsciiStrToLower(
-          std::string(host.substr(0, host.find(':')))));
+  const auto found = m_hosts.find(
+      absl::AsciiStrToLower(std::string(host.substr(0, host.find(':')))));
   if (found == m_hosts.end()) {
     return nullptr;
   }
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -226,8 +226,7 @@
 
   void Carry(const SetCallerLimits& effect) {
     RequestServerLimits limits;
-    limits.max_header_bytes =
-        static_cast<std::size_t>(effect.max_header_bytes);
+    limits.max_header_bytes = static_cast<std::size_t>(effect.max_header_bytes);
     limits.max_body_bytes = static_cast<std::size_t>(effect.max_body_bytes);
     limits.idle = std::max(limits.idle, effect.idle + kIdleMargin);
     m_caller_server.SetLimits(limits);
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -22,7 +22,8 @@
    * Binds all ports and starts.
    *
    * `reduce` decides on events. `incarnation` is the start time in wall
-   * microseconds. `dialect` says how the platform speaks. Throws std::runtime_error if a port can't be bound.
+   * microseconds. `dialect` says how the platform speaks. Throws
+   * std::runtime_error if a port can't be bound.
    */
   Daemon(const Settings& settings,
          std::int64_t incarnation,
--- a/src/runtime/effect_dispatcher.h
+++ b/src/runtime/effect_dispatcher.h
@@ -21,7 +21,8 @@
   UpstreamClient* upstreams = nullptr;
   StoreClient* store = nullptr;
   PeerTransport* peers = nullptr;
-  /** Called on the IoThread; may be empty if the reducer has no such effects. */
+  /** Called on the IoThread; may be empty if the reducer has no such effects.
+   */
   std::function<void(const SetReadiness&)> set_readiness;
   std::function<void(const SetCallerLimits&)> set_caller_limits;
   /** Called on the IoThread after the effect Exit. */
--- a/src/runtime/http_fields.h
+++ b/src/runtime/http_fields.h
@@ -33,8 +33,8 @@
  * resolved; empty if absent. */
 std::string FindQueryParameter(std::string_view target, std::string_view name);
 
-/** Returns `text` with all characters escaped that can't stand in a path segment
- * or in the value of a query parameter. */
+/** Returns `text` with all characters escaped that can't stand in a path
+ * segment or in the value of a query parameter. */
 std::string EscapeQuery(std::string_view text);
 
 /** Returns the target without its query. */
--- a/src/runtime/platform_dialect.cc
+++ b/src/runtime/platform_dialect.cc
@@ -64,7 +64,8 @@
   if (error != std::errc() || end != deadline.data() + deadline.size() ||
       milliseconds < 1 || milliseconds > kMaxDeadlineMs) {
     return RequestProblem{
-        kBadRequest, "Kumquatcove-Deadline-Ms isn't a number from 1 to 3600000"};
+        kBadRequest,
+        "Kumquatcove-Deadline-Ms isn't a number from 1 to 3600000"};
   }
   request.deadline = Milliseconds(milliseconds);
   return std::nullopt;
@@ -136,8 +137,8 @@
 
 bool ReadAnswer(const HttpAnswer& answer, UpstreamAnswered& event) {
   event.draining = HasTrueHeader(answer, "X-Draining");
-  event.not_executed = answer.status == kUnavailable &&
-                       HasTrueHeader(answer, "X-Not-Executed");
+  event.not_executed =
+      answer.status == kUnavailable && HasTrueHeader(answer, "X-Not-Executed");
   return answer.body.size() <= kMaxBodyBytes;
 }
 
--- a/src/runtime/platform_dialect.h
+++ b/src/runtime/platform_dialect.h
@@ -20,11 +20,11 @@
 
 /** How callers speak to this instance. */
 struct CallerDialect {
-  /** Returns the look-up that a request is, or nothing if it isn't one; `request`
-   * of the result isn't set. */
+  /** Returns the look-up that a request is, or nothing if it isn't one;
+   * `request` of the result isn't set. */
   std::function<std::optional<LookupArrived>(const ServedRequest&)> read_lookup;
-  /** Moves what steers a request from its headers into the members of the event.
-   * Returns the problem with it, or nothing. */
+  /** Moves what steers a request from its headers into the members of the
+   * event. Returns the problem with it, or nothing. */
   std::function<std::optional<RequestProblem>(RequestArrived&)> read_request;
   std::function<HttpAnswer(const LookupAnswer&)> write_lookup;
   /** Returns the answer to a refused request. */
@@ -35,11 +35,11 @@
 struct UpstreamDialect {
   /** Sets the headers that concern a single send. */
   std::function<void(const SendUpstream&, HttpRequest&)> write_request;
-  /** Returns whether an answer belongs to the request with the attempt id; others
-   * are left over on the connection from an earlier request. */
+  /** Returns whether an answer belongs to the request with the attempt id;
+   * others are left over on the connection from an earlier request. */
   std::function<bool(const std::string& attempt, const HttpAnswer&)> belongs;
-  /** Sets what an answer says of the upstream. Returns false if the answer isn't
-   * one that may be passed on. */
+  /** Sets what an answer says of the upstream. Returns false if the answer
+   * isn't one that may be passed on. */
   std::function<bool(const HttpAnswer&, UpstreamAnswered&)> read_answer;
 };
 
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -24,8 +24,9 @@
  * HTTP/1.1 server on one port.
  *
  * A connection carries one request at a time; each gets exactly one answer.
- * Thread safety: the constructor may run on any thread, all other functions only
- * on the IoThread. The IoThread must be stopped before this object is destroyed.
+ * Thread safety: the constructor may run on any thread, all other functions
+ * only on the IoThread. The IoThread must be stopped before this object is
+ * destroyed.
  */
 class RequestServer {
  public:
@@ -52,8 +53,8 @@
   /** Closes each connection with its next answer from now on. */
   void CloseAfterAnswers();
 
-  /** Accepts no connection and reads no request from now on; connections without
-   * a request in progress are closed. Requests that were read are still
+  /** Accepts no connection and reads no request from now on; connections
+   * without a request in progress are closed. Requests that were read are still
    * answered. */
   void StopReading();
 
--- a/src/runtime/store_client.cc
+++ b/src/runtime/store_client.cc
@@ -139,13 +139,14 @@
   }
   call.connection = std::make_unique<HttpConnection>(m_io, kMaxReplyBytes);
   call.connection->EnableKeepAlive();
-  call.connection->Open(m_address, std::min(call.timeout, kConnectTimeout), [this, number](bool opened) {
-    if (opened) {
-      Write(number);
-    } else {
-      Finish(number, std::nullopt);
-    }
-  });
+  call.connection->Open(m_address, std::min(call.timeout, kConnectTimeout),
+                        [this, number](bool opened) {
+                          if (opened) {
+                            Write(number);
+                          } else {
+                            Finish(number, std::nullopt);
+                          }
+                        });
 }
 
 void StoreClient::Write(std::uint64_t number) {
