--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -5,8 +5,13 @@
 namespace kumquatcove {
 namespace {
 
-// A burst of registrations costs one call for each pause.
-constexpr Duration kBurstPause = Milliseconds(100);
+// Calls are priced; a burst of registrations costs one for each pause. It adds to
+// the time until a draining upstream gets no more work, which is two seconds.
+constexpr Duration kUpstreamPause = Milliseconds(250);
+// Instances that start are heard by heartbeats as well.
+constexpr Duration kEntryPause = Milliseconds(500);
+// Contents that crash upstreams come again within a second or so.
+constexpr Duration kSuspicionPause = Milliseconds(100);
 // Changes by the operator are rare and must be in force soon.
 constexpr Duration kNoPause = Duration(0);
 
@@ -92,9 +97,9 @@
     m_tables.emplace(table, TableFollower(m_codec.KeyPrefix(table), pause));
   };
   add(RegistryTable::kOperator, kNoPause);
-  add(RegistryTable::kUpstreams, kBurstPause);
-  add(RegistryTable::kEntries, kBurstPause);
-  add(RegistryTable::kSuspicions, kBurstPause);
+  add(RegistryTable::kUpstreams, kUpstreamPause);
+  add(RegistryTable::kEntries, kEntryPause);
+  add(RegistryTable::kSuspicions, kSuspicionPause);
 }
 
 void RegistrySync::Restart(Context& context) {
