--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -119,7 +119,7 @@
   }
 };
 
-DispatchReducer::DispatchReducer(DispatchNodeSettings settings,
+DispatchReducer::DispatchReducer(const DispatchNodeSettings& settings,
                                  const RegistryCodec& codec)
     : m_context(settings.identity, settings.seed),
       m_settings(settings.dispatch),
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -36,7 +36,8 @@
 class DispatchReducer {
  public:
   /** `codec` must outlive this object. */
-  DispatchReducer(DispatchNodeSettings settings, const RegistryCodec& codec);
+  DispatchReducer(const DispatchNodeSettings& settings,
+                  const RegistryCodec& codec);
 
   /**
    * Handles one event and returns the effects, to be carried out in order.
--- a/src/dispatch/limits_test.cc
+++ b/src/dispatch/limits_test.cc
@@ -17,7 +17,9 @@
 namespace kumquatcove {
 namespace {
 
-const ServiceName kService("vitrina");
+ServiceName Vitrina() {
+  return ServiceName("vitrina");
+}
 
 MonotonicTime At(Duration time) {
   return MonotonicTime(Seconds(100) + time);
@@ -50,9 +52,9 @@
       const auto arrivals = random.NextBelow(6);
       for (std::uint64_t i = 0; i < arrivals; ++i) {
         ResendBudget& budget = budgets[random.NextBelow(kInstances)];
-        budget.OnRequest(kService, now);
+        budget.OnRequest(Vitrina(), now);
         requests.push_back(now);
-        if (budget.TryTake(kService, now, kInstances)) {
+        if (budget.TryTake(Vitrina(), now, kInstances)) {
           resends.push_back(now);
         }
       }
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -105,6 +105,7 @@
   }
   const RegionShares shares = PlanRegions(m_region, slots);
   std::vector<ObjectKeeper> keepers;
+  keepers.reserve(upstreams.size());
   for (const TrackedUpstream* upstream : upstreams) {
     keepers.push_back(
         {upstream->registration.id, upstream->registration.slots *
--- a/src/dispatch/placement_load_test.cc
+++ b/src/dispatch/placement_load_test.cc
@@ -19,7 +19,9 @@
 namespace kumquatcove {
 namespace {
 
-const ServiceName kService("vitrina");
+ServiceName Vitrina() {
+  return ServiceName("vitrina");
+}
 constexpr Duration kUnknownWork = Milliseconds(310);
 constexpr Duration kFamiliarWork = Milliseconds(93);
 constexpr Duration kObjective = Milliseconds(250);
@@ -114,11 +116,11 @@
 
  private:
   struct Instance {
-    Instance(ZoneName zone_name,
-             RegionName region_name,
+    Instance(const ZoneName& zone_name,
+             const RegionName& region_name,
              const DispatchSettings& settings)
         : region(region_name),
-          distances(std::move(zone_name), region_name, settings),
+          distances(zone_name, region_name, settings),
           placement(table, times, distances, region_name) {}
 
     RegionName region;
@@ -142,7 +144,7 @@
     for (int i = 0; i < count; ++i) {
       ModelUpstream upstream;
       upstream.registration.id = UpstreamId(region + std::to_string(i));
-      upstream.registration.service = kService;
+      upstream.registration.service = Vitrina();
       upstream.registration.zone = ZoneName(region + "-a");
       upstream.registration.slots = 3;
       upstream.region = RegionName(region);
@@ -170,7 +172,7 @@
   std::size_t Choose(Instance& instance, ObjectHash object, MonotonicTime now) {
     if (m_policy == Policy::kPlacement) {
       PlacementRequest request;
-      request.service = kService;
+      request.service = Vitrina();
       request.object = object;
       request.instances = 4;
       const auto choice = instance.placement.Choose(request, now, m_random);
@@ -206,7 +208,7 @@
       instance.table.OnEnded(id, SendResult::kAnswered, done.end);
       instance.table.OnLoadReport(id, {upstream.present, 0, 3, 100}, done.end);
       TrackedUpstream& tracked = *instance.table.Find(id);
-      instance.times.Add(kService,
+      instance.times.Add(Vitrina(),
                          tracked.objects.Contains(done.object)
                              ? ObjectFamiliarity::kFamiliar
                              : ObjectFamiliarity::kUnknown,
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -5,8 +5,9 @@
 namespace kumquatcove {
 namespace {
 
-// Calls are priced; a burst of registrations costs one for each pause. It adds to
-// the time until a draining upstream gets no more work, which is two seconds.
+// Calls are priced; a burst of registrations costs one for each pause. It adds
+// to the time until a draining upstream gets no more work, which is two
+// seconds.
 constexpr Duration kUpstreamPause = Milliseconds(250);
 // Instances that start are heard by heartbeats as well.
 constexpr Duration kEntryPause = Milliseconds(500);
