--- a/src/dispatch/fake_dispatch_world.h
+++ b/src/dispatch/fake_dispatch_world.h
@@ -33,7 +33,7 @@
  */
 class FakeDispatchWorld {
  public:
-  explicit FakeDispatchWorld(DispatchSettings settings = MakeSettings())
+  explicit FakeDispatchWorld(const DispatchSettings& settings = MakeSettings())
       : m_reducer({{InstanceId("e1"), 1, RegionName("lima"), ZoneName("lima-a"),
                     "e1:1", "e1:2"},
                    settings,
--- a/src/dispatch/structures_test.cc
+++ b/src/dispatch/structures_test.cc
@@ -21,10 +21,13 @@
   return MonotonicTime(Seconds(100) + time);
 }
 
-const UpstreamId kUpstream("u");
+UpstreamId OneUpstream() {
+  return UpstreamId("u");
+}
 
 std::vector<ObjectKeeper> MakeKeepers(int count) {
   std::vector<ObjectKeeper> keepers;
+  keepers.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     keepers.push_back({UpstreamId("u" + std::to_string(i)), 1});
   }
@@ -33,7 +36,7 @@
 
 UpstreamRegistration Registration() {
   UpstreamRegistration registration;
-  registration.id = kUpstream;
+  registration.id = OneUpstream();
   registration.service = ServiceName("vitrina");
   registration.zone = ZoneName("lima-a");
   registration.address = "10.0.0.1:80";
@@ -121,12 +124,13 @@
 
 TEST_CASE("An idle connection is used again only well before its timeout") {
   IdleConnections idle;
-  idle.Add(kUpstream, ConnectionId{1}, Seconds(10), At(Duration(0)));
-  CHECK_FALSE(idle.Take(kUpstream, true, At(Seconds(5))).has_value());
+  idle.Add(OneUpstream(), ConnectionId{1}, Seconds(10), At(Duration(0)));
+  CHECK_FALSE(idle.Take(OneUpstream(), true, At(Seconds(5))).has_value());
   CHECK(idle.TakeExpired(At(Seconds(5))).size() == 1);
-  idle.Add(kUpstream, ConnectionId{2}, Seconds(2), At(Duration(0)));
-  CHECK_FALSE(idle.Take(kUpstream, true, At(Milliseconds(1'100))).has_value());
-  CHECK(idle.Take(kUpstream, true, At(Milliseconds(900))).has_value());
+  idle.Add(OneUpstream(), ConnectionId{2}, Seconds(2), At(Duration(0)));
+  CHECK_FALSE(
+      idle.Take(OneUpstream(), true, At(Milliseconds(1'100))).has_value());
+  CHECK(idle.Take(OneUpstream(), true, At(Milliseconds(900))).has_value());
 }
 
 // A request that may not be repeated and meets the close of an idle connection
@@ -135,18 +139,18 @@
     "A non-idempotent request uses only a connection that was in use just "
     "before") {
   IdleConnections idle;
-  idle.Add(kUpstream, ConnectionId{1}, std::nullopt, At(Duration(0)));
+  idle.Add(OneUpstream(), ConnectionId{1}, std::nullopt, At(Duration(0)));
   const MonotonicTime later = At(IdleConnections::kMaxIdleNonIdempotent);
-  CHECK_FALSE(idle.Take(kUpstream, false, later).has_value());
-  CHECK(idle.Take(kUpstream, true, later).has_value());
+  CHECK_FALSE(idle.Take(OneUpstream(), false, later).has_value());
+  CHECK(idle.Take(OneUpstream(), true, later).has_value());
 }
 
 TEST_CASE("A lost connection is never handed out") {
   IdleConnections idle;
-  idle.Add(kUpstream, ConnectionId{1}, std::nullopt, At(Duration(0)));
+  idle.Add(OneUpstream(), ConnectionId{1}, std::nullopt, At(Duration(0)));
   CHECK(idle.Remove(ConnectionId{1}));
   CHECK_FALSE(idle.Remove(ConnectionId{1}));
-  CHECK_FALSE(idle.Take(kUpstream, true, At(Duration(1))).has_value());
+  CHECK_FALSE(idle.Take(OneUpstream(), true, At(Duration(1))).has_value());
 }
 
 TEST_CASE("The queue serves by urgency, then what can still be in time") {
@@ -179,25 +183,25 @@
 TEST_CASE("An upstream that started again has forgotten its objects") {
   UpstreamTable table;
   table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
-  table.Find(kUpstream)->objects.Note(5);
+  table.Find(OneUpstream())->objects.Note(5);
   UpstreamRegistration next = Registration();
   next.sequence = 9;
   table.OnRegistered(next, RegionName("lima"), At(Seconds(1)));
-  CHECK(table.Find(kUpstream)->objects.Contains(5));
+  CHECK(table.Find(OneUpstream())->objects.Contains(5));
   next.started_ms = 2;
   table.OnRegistered(next, RegionName("lima"), At(Seconds(2)));
-  CHECK_FALSE(table.Find(kUpstream)->objects.Contains(5));
+  CHECK_FALSE(table.Find(OneUpstream())->objects.Contains(5));
 }
 
 TEST_CASE("An upstream with a request in flight is forgotten after its end") {
   UpstreamTable table;
   table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
-  table.OnStarted(kUpstream);
-  table.OnGone(kUpstream);
-  REQUIRE(table.Find(kUpstream) != nullptr);
-  CHECK_FALSE(table.IsOpen(*table.Find(kUpstream), At(Duration(0))));
-  table.OnEnded(kUpstream, SendResult::kAnswered, At(Seconds(1)));
-  CHECK(table.Find(kUpstream) == nullptr);
+  table.OnStarted(OneUpstream());
+  table.OnGone(OneUpstream());
+  REQUIRE(table.Find(OneUpstream()) != nullptr);
+  CHECK_FALSE(table.IsOpen(*table.Find(OneUpstream()), At(Duration(0))));
+  table.OnEnded(OneUpstream(), SendResult::kAnswered, At(Seconds(1)));
+  CHECK(table.Find(OneUpstream()) == nullptr);
   CHECK(table.OfService(ServiceName("vitrina")).empty());
 }
 
@@ -205,20 +209,20 @@
     "Unreachable and evacuated upstreams get nothing, and later something") {
   UpstreamTable table;
   table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
-  table.OnConnectFailed(kUpstream, At(Duration(0)));
-  CHECK_FALSE(table.IsOpen(*table.Find(kUpstream), At(Milliseconds(100))));
-  CHECK(table.IsOpen(*table.Find(kUpstream), At(Seconds(1))));
+  table.OnConnectFailed(OneUpstream(), At(Duration(0)));
+  CHECK_FALSE(table.IsOpen(*table.Find(OneUpstream()), At(Milliseconds(100))));
+  CHECK(table.IsOpen(*table.Find(OneUpstream()), At(Seconds(1))));
   table.SetEvacuated(ZoneName("lima-a"), true);
-  CHECK_FALSE(table.IsOpen(*table.Find(kUpstream), At(Seconds(1))));
+  CHECK_FALSE(table.IsOpen(*table.Find(OneUpstream()), At(Seconds(1))));
   table.SetEvacuated(ZoneName("lima-a"), false);
-  CHECK(table.IsOpen(*table.Find(kUpstream), At(Seconds(1))));
+  CHECK(table.IsOpen(*table.Find(OneUpstream()), At(Seconds(1))));
 }
 
 TEST_CASE("Load reports of others fade to their average") {
   UpstreamTable table;
   table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
-  table.OnLoadReport(kUpstream, {3, 1, 3, 250}, At(Duration(0)));
-  const TrackedUpstream& upstream = *table.Find(kUpstream);
+  table.OnLoadReport(OneUpstream(), {3, 1, 3, 250}, At(Duration(0)));
+  const TrackedUpstream& upstream = *table.Find(OneUpstream());
   CHECK(UpstreamTable::EstimateOccupancy(upstream, At(Duration(0))) == 4);
   CHECK(UpstreamTable::EstimateOccupancy(upstream, At(Seconds(10))) ==
         doctest::Approx(0.8).epsilon(0.01));
--- a/src/platform/user_registry_codec_test.cc
+++ b/src/platform/user_registry_codec_test.cc
@@ -31,9 +31,9 @@
   return UserRegistryCodec().Read(table, {key, 1, value, false});
 }
 
-bool IsReadable(std::string value) {
+bool IsReadable(const std::string& value) {
   return !std::holds_alternative<UnreadableRow>(
-      Read(RegistryTable::kUpstreams, "servers/u", std::move(value)));
+      Read(RegistryTable::kUpstreams, "servers/u", value));
 }
 
 std::string Replace(std::string text,
--- a/src/runtime/caller_api.cc
+++ b/src/runtime/caller_api.cc
@@ -165,7 +165,7 @@
   });
 }
 
-void CallerApi::AnswerNow(ExchangeId exchange, HttpAnswer answer) {
+void CallerApi::AnswerNow(ExchangeId exchange, const HttpAnswer& answer) {
   assert(!m_servers.empty());
   // Exchanges are unique within the process, so that only one server takes it.
   for (RequestServer* server : m_servers) {
@@ -175,13 +175,12 @@
 
 void CallerApi::Answer(ExchangeId exchange, HttpAnswer answer) {
   if (m_link_delay == Duration::zero()) {
-    AnswerNow(exchange, std::move(answer));
+    AnswerNow(exchange, answer);
     return;
   }
-  m_io.PostAfter(m_link_delay,
-                 [this, exchange, answer = std::move(answer)]() mutable {
-                   AnswerNow(exchange, std::move(answer));
-                 });
+  m_io.PostAfter(m_link_delay, [this, exchange, answer = std::move(answer)] {
+    AnswerNow(exchange, answer);
+  });
 }
 
 }  // namespace kumquatcove
--- a/src/runtime/caller_api.h
+++ b/src/runtime/caller_api.h
@@ -60,7 +60,7 @@
   bool Take(RequestId request, Pending& pending);
   void PostDelayed(Event event);
   void Answer(ExchangeId exchange, HttpAnswer answer);
-  void AnswerNow(ExchangeId exchange, HttpAnswer answer);
+  void AnswerNow(ExchangeId exchange, const HttpAnswer& answer);
 
   IoThread& m_io;
   EventSink& m_events;
