--- /dev/null
+++ b/src/dispatch/crash_checks.cc
@@ -0,0 +1,42 @@
+#include "dispatch/crash_checks.h"
+
+#include <utility>
+
+namespace kumquatcove {
+
+bool CrashChecks::Join(const UpstreamId& upstream, std::uint64_t content_hash) {
+  for (auto& [connection, check] : m_checks) {
+    if (check.upstream == upstream) {
+      check.contents.push_back(content_hash);
+      return true;
+    }
+  }
+  return false;
+}
+
+void CrashChecks::Start(ConnectionId connection, CrashCheck check) {
+  m_checks[connection] = std::move(check);
+}
+
+std::optional<CrashCheck> CrashChecks::Take(ConnectionId connection) {
+  const auto found = m_checks.find(connection);
+  if (found == m_checks.end()) {
+    return std::nullopt;
+  }
+  CrashCheck check = std::move(found->second);
+  m_checks.erase(found);
+  return check;
+}
+
+std::vector<ConnectionId> CrashChecks::FindStartedBefore(
+    MonotonicTime limit) const {
+  std::vector<ConnectionId> connections;
+  for (const auto& [connection, check] : m_checks) {
+    if (check.started < limit) {
+      connections.push_back(connection);
+    }
+  }
+  return connections;
+}
+
+}  // namespace kumquatcove
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -4,9 +4,8 @@
 #include <cassert>
 #include <utility>
 
-#include <absl/strings/str_format.h>
-
 #include "base/hash.h"
+#include "dispatch/request_log.h"
 
 namespace kumquatcove {
 namespace {
@@ -54,10 +53,6 @@
          status == kTooManyRequests || status == kUnavailable;
 }
 
-std::string FormatMicroseconds(Duration time) {
-  return std::to_string(time.count());
-}
-
 CallerAnswer MakeAnswer(Outcome outcome, RefusalReason reason) {
   CallerAnswer answer;
   answer.outcome = outcome;
@@ -336,12 +331,10 @@
 
 void RequestDispatcher::OnConnectionOpened(Context& context,
                                            ConnectionId connection) {
-  const auto check = m_crash_checks.find(connection);
-  if (check != m_crash_checks.end()) {
+  if (const std::optional<CrashCheck> check = m_crash_checks.Take(connection)) {
     // The upstream is there: only the connection was lost.
-    m_upstreams.OnConnected(check->second.upstream);
-    m_idle.Add(check->second.upstream, connection, std::nullopt, context.Now());
-    m_crash_checks.erase(check);
+    m_upstreams.OnConnected(check->upstream);
+    m_idle.Add(check->upstream, connection, std::nullopt, context.Now());
     return;
   }
   DispatchRequest* request = FindByConnection(connection);
@@ -370,8 +363,9 @@
 
 void RequestDispatcher::OnConnectionLost(Context& context,
                                          const ConnectionLost& event) {
-  if (m_crash_checks.contains(event.connection)) {
-    OnCrashCheckLost(context, event.connection);
+  if (const std::optional<CrashCheck> check =
+          m_crash_checks.Take(event.connection)) {
+    OnCrashed(context, *check);
     return;
   }
   if (m_idle.Remove(event.connection)) {
@@ -426,26 +420,20 @@
 void RequestDispatcher::CheckForCrash(Context& context,
                                       const UpstreamId& upstream,
                                       std::uint64_t content_hash) {
-  for (auto& [connection, check] : m_crash_checks) {
-    if (check.upstream == upstream) {
-      check.contents.push_back(content_hash);
-      return;
-    }
+  if (m_crash_checks.Join(upstream, content_hash)) {
+    return;
   }
   const TrackedUpstream* tracked = m_upstreams.Find(upstream);
   if (tracked == nullptr) {
     return;
   }
   const ConnectionId connection = NextConnection();
-  m_crash_checks[connection] = {upstream, context.Now(), {content_hash}};
+  m_crash_checks.Start(connection, {upstream, context.Now(), {content_hash}});
   context.Emit(
       OpenConnection{connection, upstream, tracked->registration.address});
 }
 
-void RequestDispatcher::OnCrashCheckLost(Context& context,
-                                         ConnectionId connection) {
-  const CrashCheck check = std::move(m_crash_checks[connection]);
-  m_crash_checks.erase(connection);
+void RequestDispatcher::OnCrashed(Context& context, const CrashCheck& check) {
   m_upstreams.OnConnectFailed(check.upstream, context.Now());
   for (const std::uint64_t content : check.contents) {
     m_suspicion_changes.push_back(m_suspicions.OnBreak(content, context.Now()));
@@ -608,15 +596,10 @@
 void RequestDispatcher::OnTick(Context& context) {
   const MonotonicTime now = context.Now();
   m_overflow.OnTick(now);
-  std::vector<ConnectionId> failed_opens;
-  for (const auto& [connection, check] : m_crash_checks) {
-    if (now >= check.started + kConnectTimeout) {
-      failed_opens.push_back(connection);
-    }
-  }
-  for (const ConnectionId connection : failed_opens) {
+  for (const ConnectionId connection :
+       m_crash_checks.FindStartedBefore(now - kConnectTimeout)) {
     context.Emit(CloseConnection{connection});
-    OnCrashCheckLost(context, connection);
+    OnCrashed(context, *m_crash_checks.Take(connection));
   }
   std::vector<RequestId> ids;
   ids.reserve(m_requests.size());
@@ -707,7 +690,7 @@
                                DispatchRequest& request,
                                CallerAnswer answer,
                                std::optional<Duration> retry_after) {
-  RecordEnd(context, request, answer);
+  RecordRequestEnd(context, request, answer);
   if (!request.service.IsEmpty()) {
     m_queues[request.service].Remove(request.id);
   }
@@ -717,40 +700,6 @@
   m_requests.erase(id);
 }
 
-void RequestDispatcher::RecordEnd(Context& context,
-                                  const DispatchRequest& request,
-                                  const CallerAnswer& answer) const {
-  std::vector<TimelineField> fields = {
-      {"attempt", request.attempt},
-      {"route", request.route == nullptr ? "" : request.route->name},
-      {"service", request.service.Text()},
-      {"configuration", std::to_string(request.table->Version())},
-      {"outcome", std::string(ToString(answer.outcome))},
-      {"reason", std::string(ToString(answer.reason))},
-      {"status", std::to_string(answer.http.status)},
-      {"sends", std::to_string(request.sends)},
-      {"abandoned", request.abandoned ? "true" : "false"},
-      {"duration_us", FormatMicroseconds(context.Now() - request.arrived)}};
-  if (request.last) {
-    const ActiveSend& send = *request.last;
-    fields.push_back({"upstream", send.upstream.Text()});
-    fields.push_back({"object", std::to_string(request.placement.object)});
-    fields.push_back(
-        {"familiarity", std::string(ToString(send.choice.familiarity))});
-    fields.push_back(
-        {"waited_us", FormatMicroseconds(send.started - request.arrived)});
-    fields.push_back(
-        {"work_us", FormatMicroseconds(context.Now() - send.sent_at)});
-    fields.push_back(
-        {"expected_us", FormatMicroseconds(send.choice.completion)});
-    fields.push_back(
-        {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
-  }
-  context.Record(
-      answer.outcome == Outcome::kRan ? "request_answered" : "request_refused",
-      FormatRequestId(request.id), std::move(fields));
-}
-
 std::vector<SuspicionRecord> RequestDispatcher::TakeSuspicions() {
   return std::exchange(m_suspicion_changes, {});
 }
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -10,6 +10,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "dispatch/crash_checks.h"
 #include "dispatch/crash_suspicions.h"
 #include "dispatch/dispatch_request.h"
 #include "dispatch/idle_connections.h"
@@ -77,15 +78,6 @@
   std::size_t PendingCount() const { return m_requests.size(); }
 
  private:
-  /** A connection that is being opened to find out whether an upstream whose
-   * connection broke has crashed. */
-  struct CrashCheck {
-    UpstreamId upstream;
-    MonotonicTime started;
-    /** Contents that were in flight at the break. */
-    std::vector<std::uint64_t> contents;
-  };
-
   // Admission.
   const Route* FindRoute(const HttpRequest& http) const;
   RefusalReason CheckAdmission(const DispatchRequest& request,
@@ -133,7 +125,7 @@
   void CheckForCrash(Context& context,
                      const UpstreamId& upstream,
                      std::uint64_t content_hash);
-  void OnCrashCheckLost(Context& context, ConnectionId connection);
+  void OnCrashed(Context& context, const CrashCheck& check);
 
   // Time.
   void ExpireIfDue(Context& context, DispatchRequest& request);
@@ -149,10 +141,6 @@
               CallerAnswer answer,
               std::optional<Duration> retry_after);
 
-  void RecordEnd(Context& context,
-                 const DispatchRequest& request,
-                 const CallerAnswer& answer) const;
-
   DispatchRequest* Find(RequestId id);
   DispatchRequest* FindByConnection(ConnectionId connection);
   ConnectionId NextConnection() { return ConnectionId{++m_last_connection}; }
@@ -174,7 +162,7 @@
   std::map<RequestId, DispatchRequest> m_requests;
   std::map<ServiceName, WaitingQueue> m_queues;
   absl::flat_hash_map<ConnectionId, RequestId> m_connections;
-  absl::flat_hash_map<ConnectionId, CrashCheck> m_crash_checks;
+  CrashChecks m_crash_checks;
   std::uint64_t m_last_connection = 0;
 };
 
--- /dev/null
+++ b/src/dispatch/request_log.cc
@@ -0,0 +1,62 @@
+#include "dispatch/request_log.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_format.h>
+
+namespace kumquatcove {
+namespace {
+
+/** Returns the name of the log line at the end of a request. The reason of a
+ * request that its caller gave up says nothing. */
+std::string EndEventName(const DispatchRequest& request,
+                         const CallerAnswer& answer) {
+  if (request.abandoned) {
+    return "request_abandoned";
+  }
+  return answer.outcome == Outcome::kRan ? "request_answered"
+                                         : "request_refused";
+}
+
+std::string FormatMicroseconds(Duration time) {
+  return std::to_string(time.count());
+}
+
+}  // namespace
+
+void RecordRequestEnd(Context& context,
+                      const DispatchRequest& request,
+                      const CallerAnswer& answer) {
+  std::vector<TimelineField> fields = {
+      {"attempt", request.attempt},
+      {"route", request.route == nullptr ? "" : request.route->name},
+      {"service", request.service.Text()},
+      {"configuration", std::to_string(request.table->Version())},
+      {"outcome", std::string(ToString(answer.outcome))},
+      {"reason", std::string(ToString(answer.reason))},
+      {"status", std::to_string(answer.http.status)},
+      {"sends", std::to_string(request.sends)},
+      {"abandoned", request.abandoned ? "true" : "false"},
+      {"duration_us", FormatMicroseconds(context.Now() - request.arrived)}};
+  if (request.last) {
+    const ActiveSend& send = *request.last;
+    fields.push_back({"upstream", send.upstream.Text()});
+    fields.push_back({"object", std::to_string(request.placement.object)});
+    fields.push_back(
+        {"familiarity", std::string(ToString(send.choice.familiarity))});
+    fields.push_back(
+        {"waited_us", FormatMicroseconds(send.started - request.arrived)});
+    fields.push_back(
+        {"work_us", FormatMicroseconds(context.Now() - send.sent_at)});
+    fields.push_back(
+        {"expected_us", FormatMicroseconds(send.choice.completion)});
+    fields.push_back(
+        {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
+  }
+  context.Record(EndEventName(request, answer), FormatRequestId(request.id),
+                 std::move(fields));
+}
+
+}  // namespace kumquatcove
