--- a/src/dispatch/idle_connections.cc
+++ b/src/dispatch/idle_connections.cc
@@ -79,9 +79,4 @@
   return taken;
 }
 
-std::size_t IdleConnections::CountOf(const UpstreamId& upstream) const {
-  const auto found = m_upstreams.find(upstream);
-  return found == m_upstreams.end() ? 0 : found->second.size();
-}
-
 }  // namespace kumquatcove
--- a/src/dispatch/idle_connections.h
+++ b/src/dispatch/idle_connections.h
@@ -49,8 +49,6 @@
   /** Takes the connections that were idle for too long, to be closed. */
   std::vector<ConnectionId> TakeExpired(MonotonicTime now);
 
-  std::size_t CountOf(const UpstreamId& upstream) const;
-
  private:
   struct Idle {
     ConnectionId connection;
--- a/src/dispatch/region_overflow.h
+++ b/src/dispatch/region_overflow.h
@@ -40,9 +40,6 @@
   /** Adjusts the limit; to be called at least every 100 ms. */
   void OnTick(MonotonicTime now);
 
-  /** Returns the share that is allowed at present. */
-  double Limit() const { return m_limit; }
-
  private:
   double m_max_shift;
   double m_limit;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -13,12 +13,11 @@
 // Bound on the memory that requests in progress take.
 constexpr std::size_t kMaxPendingRequests = 4'000;
 
-// Time for connecting to an upstream. A live one answers within a round trip;
-// one that has lost its power or its network doesn't answer at all.
-constexpr Duration kConnectTimeout = Milliseconds(350);
-// A lost packet is sent again by the kernel after a second; waiting for it
+// Time for connecting to an upstream, if two round trips don't take longer. A
+// live one answers within one; one that has lost its power or its network
+// doesn't answer at all, and waiting until the kernel sends a lost packet again
 // would cost more than another upstream.
-constexpr Duration kConnectRoundTrips = Milliseconds(4);
+constexpr Duration kConnectTimeout = Milliseconds(350);
 
 // An upstream ends work itself at the deadline that it was given; its answer
 // needs this long to arrive.
@@ -26,6 +25,7 @@
 // A request that has less time left than this isn't sent any more.
 constexpr Duration kMinSendTime = Milliseconds(20);
 
+// For callers that state no deadline; the timeout of the route bounds it.
 constexpr Duration kDefaultDeadline = Seconds(10);
 
 // A caller that was refused comes back after this time at least, and one that
@@ -645,8 +645,7 @@
         upstream == nullptr
             ? kConnectTimeout
             : std::max(kConnectTimeout,
-                       m_distances.RoundTrip(upstream->registration.zone) * 2 +
-                           kConnectRoundTrips);
+                       m_distances.RoundTrip(upstream->registration.zone) * 2);
     if (now >= request.active->started + limit) {
       context.Emit(CloseConnection{request.active->connection});
       OnOpenFailed(context, request);
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -131,8 +131,6 @@
   static double EstimateFailureShare(const TrackedUpstream& upstream,
                                      MonotonicTime now);
 
-  std::size_t Size() const { return m_upstreams.size(); }
-
  private:
   void RemoveIfGone(const UpstreamId& id);
   void Unlist(const ServiceName& service, const UpstreamId& id);
