--- a/src/daemon/kumquatcoved_main.cc
+++ b/src/daemon/kumquatcoved_main.cc
@@ -125,6 +125,11 @@
     const kumquatcove::LogLevel level =
         settings.log_level.value_or(kumquatcove::LogLevel::kInfo);
     FLAGS_minloglevel = static_cast<int>(level);
+    if (settings.registered) {
+      // The platform keeps what processes write to standard output.
+      FLAGS_logtostdout = true;
+      FLAGS_logtostderr = false;
+    }
     return RunDaemon(settings, file);
   } catch (const kumquatcove::SettingsError& error) {
     std::cerr << "kumquatcoved: " << error.what() << '\n';
