--- a/src/dispatch/crash_suspicions.h
+++ b/src/dispatch/crash_suspicions.h
@@ -4,11 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <string>
-#include <vector>
 
 #include "base/clock_reading.h"
-#include "registry/registry_record.h"
 
 namespace kumquatcove {
 
@@ -16,11 +13,12 @@
  * Contents of requests that were in flight when upstreams broke, as seen by all
  * instances together.
  *
- * Each instance counts the breaks that it saw and publishes its count; the sum
- * decides. A content is rejected once it was in flight at kMaxBreaks breaks
- * without a success, for kRejectionTime after the last one. A success at this
- * instance clears its own count: a content that ran to its end doesn't crash
- * every upstream. Thread safety: none; owned by one reducer.
+ * Each instance tells the others of the breaks that it saw; all of them count.
+ * A content is rejected once it was in flight at kMaxBreaks breaks without a
+ * success, for kRejectionTime after the last one. A success at any instance
+ * clears the count: a content that ran to its end doesn't crash every upstream.
+ * What an instance knows is lost when it ends; a content needs as many breaks
+ * again then. Thread safety: none; owned by one reducer.
  */
 class CrashSuspicions {
  public:
@@ -31,18 +29,12 @@
   static constexpr Duration kRejectionTime = Seconds(30);
   static constexpr std::size_t kMaxContents = 4096;
 
-  /** Notes a break and returns this instance's count, to be published. */
-  SuspicionRecord OnBreak(std::uint64_t content_hash, MonotonicTime now);
+  /** Notes a break that this instance or another one has seen. */
+  void OnBreak(std::uint64_t content_hash, MonotonicTime now);
 
-  /** Notes an answer; returns true if that cleared a count, which is then to be
-   * published as zero. */
+  /** Notes a success; returns true if that cleared a count. */
   bool OnSuccess(std::uint64_t content_hash);
 
-  /** Takes the count of another instance. */
-  void OnReport(const std::string& reporter,
-                const SuspicionRecord& record,
-                MonotonicTime now);
-
   /** Returns whether requests with the content are to be rejected. */
   bool IsRejected(std::uint64_t content_hash, MonotonicTime now) const;
 
@@ -51,13 +43,10 @@
 
  private:
   struct Content {
-    int own = 0;
-    std::map<std::string, int> others;
+    int breaks = 0;
     MonotonicTime last_break;
   };
 
-  Content& Enter(std::uint64_t content_hash);
-
   std::map<std::uint64_t, Content> m_contents;
 };
 
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -5,10 +5,6 @@
 #include <utility>
 #include <variant>
 
-#include <boost/json/serialize.hpp>
-
-#include "base/json_codec.h"
-
 namespace kumquatcove {
 namespace {
 
@@ -63,6 +59,8 @@
   void operator()(const PeerMessageArrived& event) const {
     if (const auto* gossip = std::get_if<Gossip>(&event.message)) {
       reducer.m_presence.OnHeartbeat(reducer.m_context, *gossip);
+    } else if (const auto* suspicion = std::get_if<Suspicion>(&event.message)) {
+      reducer.m_dispatcher.OnSuspicion(reducer.m_context, *suspicion);
     }
   }
   void operator()(const StoreReplyArrived& event) const {
@@ -109,14 +107,6 @@
   void operator()(const EntryGone& change) const {
     reducer.m_presence.OnGone(change.instance);
   }
-  void operator()(const SuspicionReported& change) const {
-    // This instance's own reports come back from the store.
-    if (change.reporter_key == reducer.SuspicionKey(change.record)) {
-      return;
-    }
-    reducer.m_dispatcher.OnSuspicionReported(
-        reducer.m_context, change.reporter_key, change.record);
-  }
 };
 
 DispatchReducer::DispatchReducer(const DispatchNodeSettings& settings,
@@ -124,7 +114,7 @@
     : m_context(settings.identity, settings.seed),
       m_settings(settings.dispatch),
       m_codec(codec),
-      m_registry(codec),
+      m_registry(codec, FromSeconds(settings.dispatch.drain_s)),
       m_presence(codec.KeyPrefix(RegistryTable::kEntries)),
       m_dispatcher(settings.identity, settings.dispatch) {}
 
@@ -137,7 +127,7 @@
   m_last_event = m_context.Now();
   std::visit(EventVisitor{*this}, event);
   ApplyChanges();
-  PublishSuspicions();
+  BroadcastSuspicions();
   return m_context.TakeEffects();
 }
 
@@ -155,8 +145,8 @@
   ApplyChanges();
   m_dispatcher.SetInstanceCounts(
       {m_presence.CountRegistered(m_context.Self().region),
-       m_presence.CountRegistered(),
-       m_presence.RankInRegion(m_context.Self())});
+       m_presence.CountRegistered(), m_presence.RankInRegion(m_context.Self()),
+       m_registry.HasReadEntries()});
   UpdatePhase();
   m_dispatcher.OnTick(m_context);
   ExitWhenDone();
@@ -173,6 +163,9 @@
   // Requests whose time has passed must not be sent by events that waited.
   m_dispatcher.OnTick(m_context);
   m_registry.Restart(m_context);
+  if (m_registry.HasReadEntries()) {
+    m_registry.ReadEntries(m_context);
+  }
 }
 
 void DispatchReducer::HandleStoreReply(const StoreReplyArrived& event) {
@@ -187,13 +180,8 @@
       UpdatePhase();
       return;
     case StoreClientModule::kPresence:
-      m_presence.OnReply(m_context, event.id, event.reply);
-      return;
-    case StoreClientModule::kSuspicions:
-      if (event.reply.status != StoreStatus::kOk) {
-        m_context.Record(
-            "suspicion_unpublished", m_context.Self().instance.Text(),
-            {{"status", std::string(ToString(event.reply.status))}});
+      if (m_presence.OnReply(m_context, event.id, event.reply)) {
+        m_registry.ReadEntries(m_context);
       }
       return;
     case StoreClientModule::kConfiguration:
@@ -249,6 +237,7 @@
 void DispatchReducer::HandleSettings(const DispatchSettings& settings) {
   m_settings = settings;
   m_dispatcher.SetSettings(settings);
+  m_registry.SetDrainLimit(FromSeconds(settings.drain_s));
   m_context.Record("settings_reloaded", m_context.Self().instance.Text());
 }
 
@@ -275,20 +264,9 @@
                          StoreWrite{{std::move(transaction)}}, kPublishTimeout);
 }
 
-std::string DispatchReducer::SuspicionKey(const SuspicionRecord& record) const {
-  return m_codec.KeyPrefix(RegistryTable::kSuspicions) +
-         std::to_string(record.content_hash) + "-" +
-         m_context.Self().instance.Text();
-}
-
-void DispatchReducer::PublishSuspicions() {
-  for (const SuspicionRecord& record : m_dispatcher.TakeSuspicions()) {
-    StoreTransaction transaction;
-    transaction.mutations.push_back(
-        {SuspicionKey(record), boost::json::serialize(ToJson(record))});
-    m_context.CallStoreFor(StoreClientModule::kSuspicions,
-                           StoreWrite{{std::move(transaction)}},
-                           kPublishTimeout);
+void DispatchReducer::BroadcastSuspicions() {
+  for (const Suspicion& suspicion : m_dispatcher.TakeSuspicions()) {
+    m_presence.Broadcast(m_context, suspicion);
   }
 }
 
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -63,9 +63,7 @@
   void DetectPause();
   void UpdatePhase();
   void ApplyCallerLimits();
-  /** Returns the key of this instance's row for a content. */
-  std::string SuspicionKey(const SuspicionRecord& record) const;
-  void PublishSuspicions();
+  void BroadcastSuspicions();
   void ExitWhenDone();
   void RemoveRegistration();
 
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -240,6 +240,39 @@
   CHECK_FALSE(world.answers.contains(other));
 }
 
+TEST_CASE("Instances tell each other which contents crash upstreams") {
+  SmallWorld world;
+  world.HearPeer("e2", "lima");
+  world.HearPeer("e3", "arequipa");
+  world.peer_messages.clear();
+  const RequestId request = world.Request("/order/poison");
+  world.unreachable.insert(world.sends.back().upstream);
+  world.Break(world.sends.size() - 1);
+  world.Pass(Milliseconds(500));
+  CHECK(world.AnswerOf(request).outcome == Outcome::kUnknown);
+  std::vector<Suspicion> told;
+  std::set<InstanceId> receivers;
+  for (const SendPeer& message : world.peer_messages) {
+    if (const auto* suspicion = std::get_if<Suspicion>(&message.message)) {
+      told.push_back(*suspicion);
+      receivers.insert(message.to);
+    }
+  }
+  CHECK(receivers == std::set{InstanceId("e2"), InstanceId("e3")});
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].level == SuspicionLevel::kSuspect);
+  // The same content breaks another upstream before another instance.
+  world.unreachable.clear();
+  world.Pass(Seconds(3));
+  world.Handle(PeerMessageArrived{InstanceId("e2"), {}, told[0]});
+  CHECK(world.AnswerOf(world.Request("/order/poison")).reason ==
+        RefusalReason::kQuarantined);
+  // It has run to its end before another instance.
+  told[0].level = SuspicionLevel::kCleared;
+  world.Handle(PeerMessageArrived{InstanceId("e2"), {}, told[0]});
+  CHECK_FALSE(world.answers.contains(world.Request("/order/poison")));
+}
+
 TEST_CASE("A broken connection of an upstream that lives casts no suspicion") {
   SmallWorld world;
   for (int i = 0; i < 5; ++i) {
--- a/src/dispatch/fake_dispatch_world.h
+++ b/src/dispatch/fake_dispatch_world.h
@@ -79,6 +79,16 @@
   /** Lets the machine be suspended: time passes without events. */
   void Suspend(Duration time) { m_now += time; }
 
+  /** Lets a heartbeat of another instance arrive. */
+  void HearPeer(const std::string& name, const std::string& region) {
+    Gossip heartbeat;
+    heartbeat.records.push_back({InstanceId(name), 1, ++m_heartbeats,
+                                 RegionName(region), ZoneName(region + "-a"),
+                                 name + ":1", name + ":2",
+                                 InstancePhase::kServing, 0});
+    Handle(PeerMessageArrived{InstanceId(name), {}, heartbeat});
+  }
+
   RequestId Request(const std::string& target,
                     Duration deadline = Seconds(2),
                     const std::string& object = "") {
@@ -118,8 +128,8 @@
   void Handle(const Event& event) {
     std::vector<Event> events = {event};
     while (!events.empty()) {
-      const std::vector<Effect> effects =
-          m_reducer.Reduce(events.front(), {m_now, WallTime{1}});
+      const std::vector<Effect> effects = m_reducer.Reduce(
+          events.front(), {m_now, WallTime{m_now.time_since_epoch().count()}});
       events.erase(events.begin());
       table.Take(effects);
       for (const Effect& effect : effects) {
@@ -146,6 +156,7 @@
   std::set<UpstreamId> unreachable;
   std::vector<FakeSend> sends;
   std::map<RequestId, AnswerCaller> answers;
+  std::vector<SendPeer> peer_messages;
   std::optional<LookupAnswer> lookup;
   bool ready = false;
   CallerIntake intake = CallerIntake::kOpen;
@@ -169,6 +180,8 @@
       }
     } else if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
       answers.emplace(answer->request, *answer);
+    } else if (const auto* peer = std::get_if<SendPeer>(&effect)) {
+      peer_messages.push_back(*peer);
     } else if (const auto* found = std::get_if<AnswerLookup>(&effect)) {
       lookup = found->answer;
     } else if (const auto* readiness = std::get_if<SetReadiness>(&effect)) {
@@ -183,6 +196,7 @@
   DispatchReducer m_reducer;
   MonotonicTime m_now{Seconds(100)};
   std::uint64_t m_requests = 0;
+  std::int64_t m_heartbeats = 0;
   std::int64_t m_sequence = 0;
 };
 
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -112,10 +112,13 @@
   m_upstreams.SetEvacuated(zone, evacuated);
 }
 
-void RequestDispatcher::OnSuspicionReported(Context& context,
-                                            const std::string& reporter,
-                                            const SuspicionRecord& record) {
-  m_suspicions.OnReport(reporter, record, context.Now());
+void RequestDispatcher::OnSuspicion(Context& context,
+                                    const Suspicion& suspicion) {
+  if (suspicion.level == SuspicionLevel::kCleared) {
+    m_suspicions.OnSuccess(suspicion.content_hash);
+  } else {
+    m_suspicions.OnBreak(suspicion.content_hash, context.Now());
+  }
 }
 
 const Route* RequestDispatcher::FindRoute(const HttpRequest& http) const {
@@ -175,6 +178,9 @@
 std::optional<WallTime> RequestDispatcher::FindColdWindow(
     const ServiceName& service,
     WallTime now) const {
+  if (!m_counts.are_known) {
+    return std::nullopt;
+  }
   const ServiceTraits* traits = m_routes->FindService(service);
   const double rate = traits == nullptr ? 0 : traits->cold_requests_per_second;
   return ColdStartPacer::FindWindow(
@@ -439,7 +445,9 @@
 void RequestDispatcher::OnCrashed(Context& context, const CrashCheck& check) {
   m_upstreams.OnConnectFailed(check.upstream, context.Now());
   for (const std::uint64_t content : check.contents) {
-    m_suspicion_changes.push_back(m_suspicions.OnBreak(content, context.Now()));
+    m_suspicions.OnBreak(content, context.Now());
+    m_suspicion_changes.push_back(
+        {content, SuspicionLevel::kSuspect, check.upstream});
     context.Record(
         "crash_suspected", check.upstream.Text(),
         {{"content", std::to_string(content)},
@@ -521,7 +529,8 @@
     return;
   }
   if (m_suspicions.OnSuccess(request.content_hash)) {
-    m_suspicion_changes.push_back({request.content_hash, 0});
+    m_suspicion_changes.push_back(
+        {request.content_hash, SuspicionLevel::kCleared, send.upstream});
   }
   if (upstream == nullptr) {
     return;
@@ -702,7 +711,7 @@
   m_requests.erase(id);
 }
 
-std::vector<SuspicionRecord> RequestDispatcher::TakeSuspicions() {
+std::vector<Suspicion> RequestDispatcher::TakeSuspicions() {
   return std::exchange(m_suspicion_changes, {});
 }
 
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -24,6 +24,7 @@
 #include "dispatch/zone_distances.h"
 #include "protocol/context.h"
 #include "protocol/event.h"
+#include "protocol/peer_message.h"
 
 namespace kumquatcove {
 
@@ -33,6 +34,8 @@
   int in_total = 1;
   /** Place of this instance among those of its region, from 0. */
   int rank_in_region = 0;
+  /** The others have been looked up; before, they may be more. */
+  bool are_known = false;
 };
 
 /**
@@ -62,9 +65,8 @@
                             const UpstreamRegistration& registration);
   void OnUpstreamGone(Context& context, const UpstreamId& id);
   void OnEvacuationChanged(const ZoneName& zone, bool evacuated);
-  void OnSuspicionReported(Context& context,
-                           const std::string& reporter,
-                           const SuspicionRecord& record);
+  /** Takes what another instance says of a content. */
+  void OnSuspicion(Context& context, const Suspicion& suspicion);
 
   void OnRequestArrived(Context& context, const RequestArrived& event);
   void OnCallerGone(Context& context, RequestId request);
@@ -73,9 +75,9 @@
   void OnUpstreamAnswered(Context& context, const UpstreamAnswered& event);
   void OnTick(Context& context);
 
-  /** Returns counts of suspicion of this instance that changed since the last
-   * call, to be published. */
-  std::vector<SuspicionRecord> TakeSuspicions();
+  /** Returns what the other instances must learn of contents since the last
+   * call. */
+  std::vector<Suspicion> TakeSuspicions();
 
   std::size_t PendingCount() const { return m_requests.size(); }
 
@@ -163,7 +165,7 @@
   ResendBudget m_resends;
   ServiceSplitter m_splitter;
   CrashSuspicions m_suspicions;
-  std::vector<SuspicionRecord> m_suspicion_changes;
+  std::vector<Suspicion> m_suspicion_changes;
   std::map<RequestId, DispatchRequest> m_requests;
   std::map<ServiceName, WaitingQueue> m_queues;
   absl::flat_hash_map<ConnectionId, RequestId> m_connections;
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -236,7 +236,6 @@
       return;
     case StoreClientModule::kRegistry:
     case StoreClientModule::kPresence:
-    case StoreClientModule::kSuspicions:
       // Modules of DispatchReducer.
       return;
   }
--- a/src/platform/user_registry_codec.cc
+++ b/src/platform/user_registry_codec.cc
@@ -234,8 +234,6 @@
       return "servers/";
     case RegistryTable::kEntries:
       return "kumquatcove-entries/";
-    case RegistryTable::kSuspicions:
-      return "kumquatcove-suspicions/";
   }
   return {};
 }
@@ -251,8 +249,6 @@
         return ReadUpstream(name, Element(json::parse(row.value)));
       case RegistryTable::kEntries:
         return FromJson<EntryRegistration>(json::parse(row.value));
-      case RegistryTable::kSuspicions:
-        return FromJson<SuspicionRecord>(json::parse(row.value));
     }
   } catch (const std::exception& error) {
     return UnreadableRow{error.what()};
--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -39,7 +39,6 @@
   kLimits,
   kRegistry,
   kPresence,
-  kSuspicions,
 };
 
 constexpr auto EnumNames(StoreClientModule) {
@@ -48,8 +47,7 @@
                     Row{StoreClientModule::kClaims, "claims"},
                     Row{StoreClientModule::kLimits, "limits"},
                     Row{StoreClientModule::kRegistry, "registry"},
-                    Row{StoreClientModule::kPresence, "presence"},
-                    Row{StoreClientModule::kSuspicions, "suspicions"}};
+                    Row{StoreClientModule::kPresence, "presence"}};
 }
 
 /**
--- a/src/protocol/dispatch_settings.h
+++ b/src/protocol/dispatch_settings.h
@@ -28,6 +28,9 @@
   double grace_s = 6;
   /** Longest time for which callers may use a look-up answer. */
   double max_lookup_ttl_s = 5;
+  /** Time within which an upstream that has announced its leaving gets no more
+   * requests. */
+  double drain_s = 2;
   /** Time within which a configuration change must be in force. */
   double configuration_s = 2;
   /** Greatest share of a region's requests that may move to another region from
@@ -49,6 +52,7 @@
                        resend_window_s,
                        grace_s,
                        max_lookup_ttl_s,
+                       drain_s,
                        configuration_s,
                        max_region_shift,
                        zone_crossing_cost_s,
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -45,7 +45,7 @@
     context.Record(
         "entry_registered", entry.instance.Text(),
         {{"zone", entry.zone.Text()}, {"address", entry.caller_address}});
-    m_next_heartbeat = context.Now();
+    context.SendTo(entry.instance, entry.peer_address, MakeHeartbeat(context));
   }
 }
 
@@ -76,17 +76,18 @@
   }
 }
 
-void EntryPresence::OnReply(Context& context,
+bool EntryPresence::OnReply(Context& context,
                             StoreRequestId id,
                             const StoreReply& reply) {
   if (!m_call || *m_call != id) {
-    return;
+    return false;
   }
   m_call.reset();
   m_registered = reply.status == StoreStatus::kOk;
   if (!m_registered) {
     m_next_registration = context.Now() + kRegistrationRetry;
   }
+  return m_registered;
 }
 
 void EntryPresence::OnTick(Context& context) {
@@ -113,15 +114,28 @@
 
 void EntryPresence::SendHeartbeats(Context& context) {
   m_next_heartbeat = context.Now() + kHeartbeatInterval;
+  const Gossip heartbeat = MakeHeartbeat(context);
+  const bool to_all = m_counter % kRemoteHeartbeatRatio == 0;
+  for (const auto& [instance, entry] : m_entries) {
+    if (to_all || entry.registration.region == context.Self().region) {
+      context.SendTo(instance, entry.registration.peer_address, heartbeat);
+    }
+  }
+}
+
+Gossip EntryPresence::MakeHeartbeat(const Context& context) {
   const Identity& self = context.Self();
   Gossip gossip;
   gossip.records.push_back({self.instance, self.incarnation, ++m_counter,
                             self.region, self.zone, self.caller_address,
                             self.peer_address, m_phase, 0});
+  return gossip;
+}
+
+void EntryPresence::Broadcast(Context& context,
+                              const PeerMessage& message) const {
   for (const auto& [instance, entry] : m_entries) {
-    if (entry.registration.region == self.region) {
-      context.SendTo(instance, entry.registration.peer_address, gossip);
-    }
+    context.SendTo(instance, entry.registration.peer_address, message);
   }
 }
 
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -16,16 +16,21 @@
 /**
  * Which entry instances are alive, and which of them a caller should use.
  *
- * An instance writes one row when it starts, by which the others find it, and
- * sends a heartbeat to the instances of its own region; nothing about liveness
- * is written to the store. Callers are given instances of the own region only,
- * as those are the ones that are heard. Thread safety: none; owned by one
+ * An instance writes one row when it starts and then reads those of the others,
+ * to which it makes itself known. Heartbeats go to the instances of its own
+ * region, and now and then to the others; nothing about liveness is written to
+ * the store. Callers are given instances of the own region only, as those are
+ * the ones that are heard. Thread safety: none; owned by one
  * reducer.
  */
 class EntryPresence {
  public:
   /** Time between two heartbeats. */
   static constexpr Duration kHeartbeatInterval = Seconds(1);
+  /** Of so many heartbeats, one goes to the other regions too: bytes between
+   * regions are dear, and only what is asked of all instances together depends
+   * on knowing those. */
+  static constexpr int kRemoteHeartbeatRatio = 10;
   /** An instance that wasn't heard for this long isn't named to callers. Three
    * heartbeats: one may be lost, and a second one late. */
   static constexpr Duration kSilenceLimit = Milliseconds(3200);
@@ -40,10 +45,14 @@
   void OnRegistered(Context& context, const EntryRegistration& entry);
   void OnGone(const InstanceId& instance);
   void OnHeartbeat(Context& context, const Gossip& gossip);
-  /** Takes a reply to one of its calls; others are ignored. */
-  void OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
+  /** Takes a reply to one of its calls; others are ignored. Returns true if
+   * this instance has become registered by it. */
+  bool OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
   void OnTick(Context& context);
 
+  /** Sends a message to all instances that are known. */
+  void Broadcast(Context& context, const PeerMessage& message) const;
+
   /** Returns instances for a caller in `zone`, those of its availability zone
    * first; at least two if there are. `time_to_live` bounds their use. */
   LookupAnswer Answer(const Context& context,
@@ -69,6 +78,7 @@
   };
 
   void SendHeartbeats(Context& context);
+  Gossip MakeHeartbeat(const Context& context);
   void Register(Context& context);
   bool IsUsable(const Context& context, const Entry& entry) const;
 
--- a/src/registry/entry_presence_test.cc
+++ b/src/registry/entry_presence_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <string>
 
 namespace kumquatcove {
@@ -119,6 +120,41 @@
   CHECK(bench.Addresses("lima-a") == Names{"self:1"});
 }
 
+TEST_CASE("Heartbeats go to the own region, and now and then to the others") {
+  PresenceBench bench;
+  bench.Hear("near", "lima-b");
+  bench.Hear("far", "arequipa-a", InstancePhase::kServing, "arequipa");
+  bench.context.TakeEffects();
+  std::map<InstanceId, int> sent;
+  constexpr int kHeartbeats = 2 * EntryPresence::kRemoteHeartbeatRatio;
+  for (int i = 0; i < kHeartbeats; ++i) {
+    bench.Pass(EntryPresence::kHeartbeatInterval);
+    bench.presence.OnTick(bench.context);
+    for (const Effect& effect : bench.context.TakeEffects()) {
+      if (const auto* message = std::get_if<SendPeer>(&effect)) {
+        ++sent[message->to];
+      }
+    }
+  }
+  CHECK(sent[InstanceId("near")] == kHeartbeats);
+  CHECK(sent[InstanceId("far")] == 2);
+}
+
+TEST_CASE(
+    "An instance makes itself known to those that it finds in the table") {
+  PresenceBench bench;
+  bench.context.TakeEffects();
+  bench.presence.OnRegistered(bench.context,
+                              {InstanceId("far"), RegionName("arequipa"),
+                               ZoneName("arequipa-a"), "far:1", "far:2"});
+  bool greeted = false;
+  for (const Effect& effect : bench.context.TakeEffects()) {
+    const auto* message = std::get_if<SendPeer>(&effect);
+    greeted = greeted || (message != nullptr && message->address == "far:2");
+  }
+  CHECK(greeted);
+}
+
 TEST_CASE("The row of an instance is written once, and again after a failure") {
   PresenceBench bench;
   const auto writes = [&] {
--- a/src/registry/fake_registry_codec.h
+++ b/src/registry/fake_registry_codec.h
@@ -46,8 +46,6 @@
         return ReadUpstream(name, in);
       case RegistryTable::kEntries:
         return FromJson<EntryRegistration>(boost::json::parse(row.value));
-      case RegistryTable::kSuspicions:
-        return FromJson<SuspicionRecord>(boost::json::parse(row.value));
     }
     return UnreadableRow{"unknown table"};
   }
--- a/src/registry/fake_table.h
+++ b/src/registry/fake_table.h
@@ -32,6 +32,7 @@
     for (const Effect& effect : effects) {
       if (const auto* call = std::get_if<CallStore>(&effect)) {
         m_calls.push_back(*call);
+        ++calls;
       }
     }
   }
@@ -51,6 +52,8 @@
     return std::nullopt;
   }
 
+  /** Number of calls so far. */
+  std::size_t calls = 0;
   /** Rows that one scan returns at most. */
   std::size_t page = 100;
 
--- a/src/registry/registry_record.h
+++ b/src/registry/registry_record.h
@@ -23,16 +23,13 @@
   kUpstreams,
   /** Entry instances, as they register themselves. */
   kEntries,
-  /** Contents of requests that were in flight when upstreams broke. */
-  kSuspicions,
 };
 
 constexpr auto EnumNames(RegistryTable) {
   using Row = EnumName<RegistryTable>;
   return std::array{Row{RegistryTable::kOperator, "operator"},
                     Row{RegistryTable::kUpstreams, "upstreams"},
-                    Row{RegistryTable::kEntries, "entries"},
-                    Row{RegistryTable::kSuspicions, "suspicions"}};
+                    Row{RegistryTable::kEntries, "entries"}};
 }
 
 /** An upstream's own description. */
@@ -77,16 +74,6 @@
                       (),
                       (instance, region, zone, caller_address, peer_address))
 
-/** How often upstreams broke while they ran a content, as one instance saw it.
- */
-struct SuspicionRecord {
-  std::uint64_t content_hash = 0;
-  std::int32_t breaks = 0;
-  friend bool operator==(const SuspicionRecord&,
-                         const SuspicionRecord&) = default;
-};
-BOOST_DESCRIBE_STRUCT(SuspicionRecord, (), (content_hash, breaks))
-
 /** A row that can't be read; it stands for nothing. */
 struct UnreadableRow {
   std::string problem;
@@ -97,7 +84,6 @@
                                     ZoneEvacuation,
                                     UpstreamRegistration,
                                     EntryRegistration,
-                                    SuspicionRecord,
                                     UnreadableRow>;
 
 }  // namespace kumquatcove
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -6,13 +6,9 @@
 namespace {
 
 // Calls are priced; a burst of registrations costs one for each pause. It adds
-// to the time until a draining upstream gets no more work, which is two
-// seconds.
-constexpr Duration kUpstreamPause = Milliseconds(250);
-// Instances that start are heard by heartbeats as well.
-constexpr Duration kEntryPause = Milliseconds(500);
-// Contents that crash upstreams come again within a second or so.
-constexpr Duration kSuspicionPause = Milliseconds(100);
+// to the time until a draining upstream gets no more work, of which this part
+// may pass; the rest is for the call, once more if it fails.
+constexpr double kUpstreamPauseShare = 0.4;
 // Changes by the operator are rare and must be in force soon.
 constexpr Duration kNoPause = Duration(0);
 
@@ -77,10 +73,6 @@
     sync.m_changes.push_back(EntryRegistered{std::move(registration)});
   }
 
-  void operator()(SuspicionRecord& record) const {
-    sync.m_changes.push_back(SuspicionReported{row.key, record});
-  }
-
   void operator()(UnreadableRow& unreadable) const {
     context.Record("row_unreadable", row.key,
                    {{"table", std::string(ToString(table))},
@@ -92,21 +84,31 @@
   }
 };
 
-RegistrySync::RegistrySync(const RegistryCodec& codec)
+RegistrySync::RegistrySync(const RegistryCodec& codec, Duration drain_limit)
     : m_codec(codec), m_routes(std::make_shared<const RouteTable>()) {
-  const auto add = [this](RegistryTable table, Duration pause) {
+  const auto add = [this](RegistryTable table, std::optional<Duration> pause) {
     m_tables.emplace(table, TableFollower(m_codec.KeyPrefix(table), pause));
   };
   add(RegistryTable::kOperator, kNoPause);
-  add(RegistryTable::kUpstreams, kUpstreamPause);
-  add(RegistryTable::kEntries, kEntryPause);
-  add(RegistryTable::kSuspicions, kSuspicionPause);
+  add(RegistryTable::kUpstreams, kNoPause);
+  // Instances that start later make themselves known by heartbeats.
+  add(RegistryTable::kEntries, std::nullopt);
+  SetDrainLimit(drain_limit);
+}
+
+void RegistrySync::SetDrainLimit(Duration drain_limit) {
+  m_tables.at(RegistryTable::kUpstreams)
+      .SetPause(std::chrono::duration_cast<Duration>(drain_limit *
+                                                     kUpstreamPauseShare));
 }
 
 void RegistrySync::Restart(Context& context) {
-  for (auto& [table, follower] : m_tables) {
-    follower.Restart(context);
-  }
+  m_tables.at(RegistryTable::kOperator).Restart(context);
+  m_tables.at(RegistryTable::kUpstreams).Restart(context);
+}
+
+void RegistrySync::ReadEntries(Context& context) {
+  m_tables.at(RegistryTable::kEntries).Restart(context);
 }
 
 void RegistrySync::OnReply(Context& context,
@@ -158,8 +160,6 @@
     case RegistryTable::kEntries:
       m_changes.push_back(EntryGone{InstanceId(name)});
       return;
-    case RegistryTable::kSuspicions:
-      return;
   }
 }
 
@@ -218,6 +218,10 @@
   return m_has_routes && m_tables.at(RegistryTable::kUpstreams).IsLoaded();
 }
 
+bool RegistrySync::HasReadEntries() const {
+  return m_tables.at(RegistryTable::kEntries).IsLoaded();
+}
+
 bool RegistrySync::IsStoreReachable() const {
   return !m_tables.at(RegistryTable::kUpstreams).IsLost();
 }
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -39,19 +39,12 @@
 struct EntryGone {
   InstanceId instance;
 };
-/** An instance reports a content that was in flight at breaks. */
-struct SuspicionReported {
-  std::string reporter_key;
-  SuspicionRecord record;
-};
-
 using RegistryChange = std::variant<RoutesChanged,
                                     UpstreamRegistered,
                                     UpstreamGone,
                                     EvacuationChanged,
                                     EntryRegistered,
-                                    EntryGone,
-                                    SuspicionReported>;
+                                    EntryGone>;
 
 /**
  * Follows the tables that describe the deployment and gives the changes.
@@ -73,11 +66,18 @@
    * from which on the others are taken to be gone and not to have lapsed. */
   static constexpr double kMinRemaining = 0.72;
 
-  /** `codec` must outlive this object. */
-  explicit RegistrySync(const RegistryCodec& codec);
+  /** `codec` must outlive this object. `drain_limit` is the time within which
+   * an upstream that leaves must get no more work. */
+  RegistrySync(const RegistryCodec& codec, Duration drain_limit);
 
-  /** Reads all tables, at the start or after this process stood still. */
+  void SetDrainLimit(Duration drain_limit);
+
+  /** Reads the operator's table and that of upstreams, at the start or after
+   * this process stood still, and goes on to watch them. */
   void Restart(Context& context);
+  /** Reads the table of entry instances; to be called once this instance is in
+   * it, so that of two that start together one finds the other. */
+  void ReadEntries(Context& context);
   /** Takes a reply to one of its calls; others are ignored. */
   void OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
   void OnTick(Context& context);
@@ -88,6 +88,9 @@
   /** Returns whether a configuration and the upstreams have been read. */
   bool IsReady() const;
 
+  /** Returns whether the table of entry instances has been read. */
+  bool HasReadEntries() const;
+
   /** Returns whether the tables of the platform can be followed at present. */
   bool IsStoreReachable() const;
 
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -20,6 +20,7 @@
 }  // namespace
 
 void TableFollower::Restart(Context& context) {
+  m_started = true;
   m_scanning = true;
   m_scan.clear();
   m_scan_after.clear();
@@ -82,7 +83,9 @@
   m_scanning = false;
   m_loaded = true;
   m_version = m_scan_version;
-  Call(context);
+  if (m_pause) {
+    Call(context);
+  }
 }
 
 void TableFollower::OnWatched(Context& context, const StoreReply& reply) {
@@ -93,7 +96,7 @@
   if (reply.rows.empty()) {
     Call(context);
   } else {
-    m_due = context.Now() + m_pause;
+    m_due = context.Now() + *m_pause;
   }
 }
 
@@ -137,7 +140,8 @@
 }
 
 void TableFollower::OnTick(Context& context) {
-  if (!m_call && context.Now() >= m_due) {
+  const bool wanted = m_started && (m_pause || m_scanning);
+  if (wanted && !m_call && context.Now() >= m_due) {
     Call(context);
   }
 }
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -13,18 +13,22 @@
 namespace kumquatcove {
 
 /**
- * Keeps a copy of one table of the store: reads all rows, then watches for
- * changes, and reads again when the history was lost.
+ * Keeps a copy of one table of the store: reads all rows, then, if wanted,
+ * watches for changes, and reads again when the history was lost.
  *
  * Thread safety: none; owned by one reducer.
  */
 class TableFollower {
  public:
   /** Follows the rows whose key starts with `prefix`. After a change the next
-   * watch starts only `pause` later, so that one call takes a burst. */
-  TableFollower(std::string prefix, Duration pause)
+   * watch starts only `pause` later, so that one call takes a burst; without a
+   * pause the rows are read once, after each Restart. */
+  TableFollower(std::string prefix, std::optional<Duration> pause)
       : m_prefix(std::move(prefix)), m_pause(pause) {}
 
+  /** Changes the pause. Precondition: the table is watched. */
+  void SetPause(Duration pause) { m_pause = pause; }
+
   /** Starts, or reads all rows again, for instance after this process stood
    * still. A reply to an earlier call is ignored. */
   void Restart(Context& context);
@@ -59,7 +63,9 @@
   void Apply(const StoreRow& row);
 
   std::string m_prefix;
-  Duration m_pause;
+  std::optional<Duration> m_pause;
+  /** Restart has been called. */
+  bool m_started = false;
   std::map<std::string, StoreRow> m_rows;
   std::vector<StoreRow> m_changes;
   /** Rows of the scan in progress. */
