--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -22,6 +22,7 @@
 #include "dispatch/resend_budget.h"
 #include "dispatch/service_splitter.h"
 #include "dispatch/service_times.h"
+#include "dispatch/shared_load.h"
 #include "dispatch/sliding_count.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -61,6 +61,8 @@
       reducer.m_presence.OnHeartbeat(reducer.m_context, *gossip);
     } else if (const auto* suspicion = std::get_if<Suspicion>(&event.message)) {
       reducer.m_dispatcher.OnSuspicion(reducer.m_context, *suspicion);
+    } else if (const auto* digest = std::get_if<LoadDigest>(&event.message)) {
+      reducer.m_dispatcher.OnLoadDigest(reducer.m_context, event.from, *digest);
     }
   }
   void operator()(const StoreReplyArrived& event) const {
@@ -149,6 +151,7 @@
        m_registry.HasReadEntries()});
   UpdatePhase();
   m_dispatcher.OnTick(m_context);
+  ShareLoad();
   ExitWhenDone();
 }
 
@@ -264,6 +267,22 @@
                          StoreWrite{{std::move(transaction)}}, kPublishTimeout);
 }
 
+void DispatchReducer::ShareLoad() {
+  // The receivers are looked up only when a digest may be due.
+  if (!m_dispatcher.IsDigestDue(1, m_context.Now())) {
+    return;
+  }
+  const std::vector<InstanceAddress> receivers =
+      m_presence.FindLoadReceivers(m_context);
+  if (!m_dispatcher.IsDigestDue(receivers.size(), m_context.Now())) {
+    return;
+  }
+  const LoadDigest digest = m_dispatcher.MakeDigest(m_context.Now());
+  for (const InstanceAddress& receiver : receivers) {
+    m_context.SendTo(receiver.instance, receiver.peer_address, digest);
+  }
+}
+
 void DispatchReducer::BroadcastSuspicions() {
   for (const Suspicion& suspicion : m_dispatcher.TakeSuspicions()) {
     m_presence.Broadcast(m_context, suspicion);
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -64,6 +64,7 @@
   void UpdatePhase();
   void ApplyCallerLimits();
   void BroadcastSuspicions();
+  void ShareLoad();
   void ExitWhenDone();
   void RemoveRegistration();
 
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -169,8 +169,8 @@
   const auto slots =
       static_cast<double>(std::max(upstream.registration.slots, 1));
   const double occupancy = UpstreamTable::EstimateOccupancy(upstream, now);
-  // The other instances of the region are assumed to have as many waiting.
-  const double waiting = upstream.awaited * request.instances;
+  const double waiting =
+      (upstream.awaited + upstream.peers_awaited) * request.waiting_ratio;
   const double wait = std::max(0.0, occupancy + waiting + 1 - slots) *
                       (familiar_time * slowness) / slots;
   const double crowding =
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -28,8 +28,9 @@
   std::optional<WallTime> cold_window;
   /** It may run in another region than the planned one. */
   bool may_overflow = true;
-  /** Instances of the region, whose requests wait for the same upstreams. */
-  int instances = 1;
+  /** Requests that wait for an upstream in all, in relation to those that are
+   * known here to wait for it. */
+  double waiting_ratio = 1;
 };
 
 /** Where a request goes, and what is expected there. */
--- a/src/dispatch/placement_load_test.cc
+++ b/src/dispatch/placement_load_test.cc
@@ -174,7 +174,7 @@
       PlacementRequest request;
       request.service = Vitrina();
       request.object = object;
-      request.instances = 4;
+      request.waiting_ratio = 4;
       const auto choice = instance.placement.Choose(request, now, m_random);
       REQUIRE(choice.has_value());
       return IndexOf(choice->upstream);
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -69,6 +69,7 @@
       m_distances(self.zone, self.region, settings),
       m_placement(m_upstreams, m_times, m_distances, self.region),
       m_overflow(settings.max_region_shift),
+      m_shared_load(m_upstreams),
       m_resends(settings) {}
 
 void RequestDispatcher::SetSettings(const DispatchSettings& settings) {
@@ -222,7 +223,10 @@
   request.placement.cold_window =
       FindColdWindow(request.service, context.Wall());
   request.placement.may_overflow = m_overflow.IsAllowed(now);
-  request.placement.instances = m_counts.in_region;
+  // Instances that aren't heard are assumed to have as many waiting as others.
+  request.placement.waiting_ratio =
+      std::max(1.0, static_cast<double>(m_counts.in_region) /
+                        static_cast<double>(m_shared_load.CountSenders() + 1));
   std::optional<PlacementChoice> choice =
       m_placement.Choose(request.placement, now, context.RandomNumbers());
   if (choice && choice->overflow_denied) {
@@ -605,8 +609,15 @@
   }
 }
 
+void RequestDispatcher::OnLoadDigest(Context& context,
+                                     const InstanceId& sender,
+                                     const LoadDigest& digest) {
+  m_shared_load.OnDigest(sender, digest, context.Now());
+}
+
 void RequestDispatcher::OnTick(Context& context) {
   const MonotonicTime now = context.Now();
+  m_shared_load.OnTick(now);
   m_overflow.OnTick(now);
   for (const ConnectionId connection :
        m_crash_checks.FindStartedBefore(now - kConnectTimeout)) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -19,6 +19,7 @@
 #include "dispatch/resend_budget.h"
 #include "dispatch/service_splitter.h"
 #include "dispatch/service_times.h"
+#include "dispatch/shared_load.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
 #include "dispatch/zone_distances.h"
@@ -68,6 +69,20 @@
   /** Takes what another instance says of a content. */
   void OnSuspicion(Context& context, const Suspicion& suspicion);
 
+  /** Takes what another instance says of the load of upstreams. */
+  void OnLoadDigest(Context& context,
+                    const InstanceId& sender,
+                    const LoadDigest& digest);
+  /** Returns whether it is time to tell `receivers` other instances of the load
+   * of upstreams. */
+  bool IsDigestDue(std::size_t receivers, MonotonicTime now) const {
+    return m_shared_load.IsDue(receivers, now);
+  }
+  /** Returns what they are to be told. */
+  LoadDigest MakeDigest(MonotonicTime now) {
+    return m_shared_load.MakeDigest(now);
+  }
+
   void OnRequestArrived(Context& context, const RequestArrived& event);
   void OnCallerGone(Context& context, RequestId request);
   void OnConnectionOpened(Context& context, ConnectionId connection);
@@ -162,6 +177,7 @@
   Placement m_placement;
   IdleConnections m_idle;
   RegionOverflow m_overflow;
+  SharedLoad m_shared_load;
   ResendBudget m_resends;
   ServiceSplitter m_splitter;
   CrashSuspicions m_suspicions;
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
+
 namespace kumquatcove {
 namespace {
 
@@ -45,9 +47,13 @@
   if (restarted) {
     const int in_flight = upstream.in_flight;
     const int awaited = upstream.awaited;
+    const int peers_in_flight = upstream.peers_in_flight;
+    const int peers_awaited = upstream.peers_awaited;
     upstream = TrackedUpstream{};
     upstream.in_flight = in_flight;
     upstream.awaited = awaited;
+    upstream.peers_in_flight = peers_in_flight;
+    upstream.peers_awaited = peers_awaited;
     upstream.registered = now;
   }
   upstream.registration = registration;
@@ -55,6 +61,7 @@
   upstream.leaving = registration.draining;
   upstream.gone = false;
   upstream.cold_until = now + registration.cold_left;
+  m_by_hash[StableHash(registration.id.Text())] = registration.id;
   std::vector<UpstreamId>& ids = m_services[registration.service];
   const auto place = std::lower_bound(ids.begin(), ids.end(), registration.id);
   if (place == ids.end() || *place != registration.id) {
@@ -77,6 +84,7 @@
   if (found != m_upstreams.end() && found->second.gone &&
       found->second.in_flight == 0) {
     Unlist(found->second.registration.service, id);
+    m_by_hash.erase(StableHash(id.Text()));
     m_upstreams.erase(found);
   }
 }
@@ -155,15 +163,75 @@
   if (upstream == nullptr) {
     return;
   }
-  upstream->others_reported =
-      std::max(0.0, static_cast<double>(report.running + report.waiting) -
-                        upstream->in_flight);
-  upstream->others_average +=
-      (upstream->others_reported - upstream->others_average) * kOthersWeight;
-  upstream->work_time_ratio =
-      std::clamp(report.work_time_percent / 100.0, 0.1, 100.0);
-  upstream->reported = now;
-  upstream->has_report = true;
+  const int known = upstream->in_flight + upstream->peers_in_flight;
+  SetReport(*upstream, std::max(0, report.running + report.waiting - known),
+            report.work_time_percent, now);
+  upstream->own_report = true;
+}
+
+void UpstreamTable::SetReport(TrackedUpstream& upstream,
+                              double others,
+                              std::int32_t work_time_percent,
+                              MonotonicTime reported) {
+  upstream.others_reported = others;
+  upstream.others_average += (others - upstream.others_average) * kOthersWeight;
+  upstream.work_time_ratio = std::clamp(work_time_percent / 100.0, 0.1, 100.0);
+  upstream.reported = reported;
+  upstream.has_report = true;
+}
+
+void UpstreamTable::AddPeerLoad(std::uint64_t upstream_hash,
+                                int in_flight,
+                                int awaited) {
+  const auto found = m_by_hash.find(upstream_hash);
+  if (found == m_by_hash.end()) {
+    return;
+  }
+  // An upstream may have become known between the two digests of a sender.
+  TrackedUpstream& upstream = *Find(found->second);
+  upstream.peers_in_flight = std::max(0, upstream.peers_in_flight + in_flight);
+  upstream.peers_awaited = std::max(0, upstream.peers_awaited + awaited);
+}
+
+void UpstreamTable::OnSharedReport(const UpstreamLoad& load,
+                                   MonotonicTime now) {
+  const auto found = m_by_hash.find(load.upstream_hash);
+  if (found == m_by_hash.end() || load.report_age < Duration::zero()) {
+    return;
+  }
+  TrackedUpstream& upstream = *Find(found->second);
+  const MonotonicTime reported = now - load.report_age;
+  if (upstream.has_report && reported <= upstream.reported) {
+    return;
+  }
+  SetReport(upstream, std::max(0, load.others), load.work_time_percent,
+            reported);
+  upstream.own_report = false;
+}
+
+std::vector<UpstreamLoad> UpstreamTable::ListOwnLoads(MonotonicTime since,
+                                                      MonotonicTime now) const {
+  std::vector<UpstreamLoad> loads;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const bool reported = upstream.has_report && upstream.own_report &&
+                          upstream.reported >= since;
+    if (upstream.in_flight == 0 && upstream.awaited == 0 && !reported) {
+      continue;
+    }
+    UpstreamLoad load;
+    load.upstream_hash = StableHash(id.Text());
+    load.in_flight = upstream.in_flight;
+    load.awaited = upstream.awaited;
+    if (reported) {
+      load.others =
+          static_cast<std::int32_t>(std::lround(upstream.others_reported));
+      load.work_time_percent = static_cast<std::int32_t>(
+          std::lround(upstream.work_time_ratio * 100));
+      load.report_age = now - upstream.reported;
+    }
+    loads.push_back(load);
+  }
+  return loads;
 }
 
 void UpstreamTable::OnAnswerTime(const UpstreamId& id,
@@ -204,11 +272,12 @@
 
 double UpstreamTable::EstimateOccupancy(const TrackedUpstream& upstream,
                                         MonotonicTime now) {
+  const int known = upstream.in_flight + upstream.peers_in_flight;
   if (!upstream.has_report) {
-    return upstream.in_flight;
+    return known;
   }
   const double weight = Remaining(now - upstream.reported, kLoadReportLife);
-  return upstream.in_flight + weight * upstream.others_reported +
+  return known + weight * upstream.others_reported +
          (1 - weight) * upstream.others_average;
 }
 
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -13,6 +13,7 @@
 #include "dispatch/cold_start_pacer.h"
 #include "dispatch/object_memory.h"
 #include "protocol/event.h"
+#include "protocol/peer_message.h"
 #include "registry/registry_record.h"
 
 namespace kumquatcove {
@@ -34,11 +35,17 @@
   /** Its address is known to belong to another upstream. */
   bool displaced = false;
 
-  /** Requests of other instances by its last report, and when that was. */
+  /** Requests of the instances whose load is known, as of their last digests,
+   * see SharedLoad: those that it has, and those that wait for it. */
+  int peers_in_flight = 0;
+  int peers_awaited = 0;
+  /** Requests of the other instances by its last report, and when that was. */
   double others_reported = 0;
   double others_average = 0;
   MonotonicTime reported;
   bool has_report = false;
+  /** The last report came to this instance, not to another one. */
+  bool own_report = false;
   double work_time_ratio = 1;
 
   /** Recent share of sends that it rejected or failed. */
@@ -114,6 +121,16 @@
   void OnLoadReport(const UpstreamId& id,
                     const UpstreamLoadReport& report,
                     MonotonicTime now);
+  /** Adds to the load that other instances are known to cause; unknown
+   * upstreams are ignored. */
+  void AddPeerLoad(std::uint64_t upstream_hash, int in_flight, int awaited);
+  /** Takes the report that another instance got, if it is newer. */
+  void OnSharedReport(const UpstreamLoad& load, MonotonicTime now);
+  /** Returns the upstreams that this instance loads, and those that have sent
+   * it a report since `since`. */
+  std::vector<UpstreamLoad> ListOwnLoads(MonotonicTime since,
+                                         MonotonicTime now) const;
+
   /** Notes the time of an answer in relation to the expected one. */
   void OnAnswerTime(const UpstreamId& id, double ratio, MonotonicTime now);
   void OnConnected(const UpstreamId& id);
@@ -132,11 +149,17 @@
                                      MonotonicTime now);
 
  private:
+  void SetReport(TrackedUpstream& upstream,
+                 double others,
+                 std::int32_t work_time_percent,
+                 MonotonicTime reported);
   void RemoveIfGone(const UpstreamId& id);
   void Unlist(const ServiceName& service, const UpstreamId& id);
 
   std::map<UpstreamId, TrackedUpstream> m_upstreams;
   absl::flat_hash_map<ServiceName, std::vector<UpstreamId>> m_services;
+  /** Upstreams by StableHash of their id. */
+  absl::flat_hash_map<std::uint64_t, UpstreamId> m_by_hash;
   std::set<ZoneName> m_evacuated;
 };
 
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -100,6 +100,8 @@
     node.m_modules->configuration.OnCatalogueRequest(
         node.m_context, node.m_modules->members, from, message);
   }
+  /** The slot homes of this kind of deployment know the load exactly. */
+  void operator()(const LoadDigest& /*message*/) const {}
   void operator()(const CatalogueDelta& message) const {
     node.m_modules->configuration.OnCatalogueDelta(
         node.m_context, node.m_modules->members, from, message);
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -319,6 +319,37 @@
                       (),
                       (base_revision, revision, digest, entries))
 
+/** What an instance knows of the load of one upstream. */
+struct UpstreamLoad {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  /** Requests of the sender that the upstream has, and those that wait at the
+   * sender for it. */
+  std::int32_t in_flight = 0;
+  std::int32_t awaited = 0;
+  /** Requests of instances that the sender doesn't hear, by the upstream's last
+   * report. */
+  std::int32_t others = 0;
+  /** Present time of work at the upstream, in hundredths of the usual one. */
+  std::int32_t work_time_percent = 100;
+  /** Time since that report; negative if the sender has none. */
+  Duration report_age{-1};
+  friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+BOOST_DESCRIBE_STRUCT(
+    UpstreamLoad,
+    (),
+    (upstream_hash, in_flight, awaited, others, work_time_percent, report_age))
+
+/** Load that an instance causes at upstreams, and what these reported to it;
+ * upstreams that aren't in it have none. */
+struct LoadDigest {
+  static constexpr std::string_view kName = "load_digest";
+  std::vector<UpstreamLoad> upstreams;
+  friend bool operator==(const LoadDigest&, const LoadDigest&) = default;
+};
+BOOST_DESCRIBE_STRUCT(LoadDigest, (), (upstreams))
+
 using PeerMessage = std::variant<Gossip,
                                  SlotRequest,
                                  SlotGrant,
@@ -333,7 +364,8 @@
                                  SuspicionAck,
                                  CatalogueRequest,
                                  CatalogueDelta,
-                                 SlotQueued>;
+                                 SlotQueued,
+                                 LoadDigest>;
 
 }  // namespace kumquatcove
 
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -132,6 +132,27 @@
   return gossip;
 }
 
+std::vector<InstanceAddress> EntryPresence::FindLoadReceivers(
+    const Context& context) const {
+  // From this instance on in the order of names, so that each instance is told
+  // by as many others as it tells itself.
+  std::vector<InstanceAddress> receivers;
+  const auto add_range = [&](auto begin, auto end) {
+    for (auto entry = begin; entry != end; ++entry) {
+      const EntryRegistration& registration = entry->second.registration;
+      if (receivers.size() < kMaxLoadReceivers &&
+          registration.region == context.Self().region &&
+          IsUsable(context, entry->second)) {
+        receivers.push_back({entry->first, registration.peer_address});
+      }
+    }
+  };
+  const auto self = m_entries.upper_bound(context.Self().instance);
+  add_range(self, m_entries.end());
+  add_range(m_entries.begin(), self);
+  return receivers;
+}
+
 void EntryPresence::Broadcast(Context& context,
                               const PeerMessage& message) const {
   for (const auto& [instance, entry] : m_entries) {
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -13,6 +13,12 @@
 
 namespace kumquatcove {
 
+/** An entry instance and its address for other instances. */
+struct InstanceAddress {
+  InstanceId instance;
+  std::string peer_address;
+};
+
 /**
  * Which entry instances are alive, and which of them a caller should use.
  *
@@ -31,6 +37,8 @@
    * regions are dear, and only what is asked of all instances together depends
    * on knowing those. */
   static constexpr int kRemoteHeartbeatRatio = 10;
+  /** Each instance costs its receivers some messages a second. */
+  static constexpr std::size_t kMaxLoadReceivers = 24;
   /** An instance that wasn't heard for this long isn't named to callers. Three
    * heartbeats: one may be lost, and a second one late. */
   static constexpr Duration kSilenceLimit = Milliseconds(3200);
@@ -50,6 +58,10 @@
   bool OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
   void OnTick(Context& context);
 
+  /** Returns the instances of the region that are told of this one's load: all
+   * that are alive, or kMaxLoadReceivers of them. */
+  std::vector<InstanceAddress> FindLoadReceivers(const Context& context) const;
+
   /** Sends a message to all instances that are known. */
   void Broadcast(Context& context, const PeerMessage& message) const;
 
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -39,6 +39,7 @@
     catalogueRequest @12 :CatalogueRequest;
     catalogueDelta @13 :CatalogueDelta;
     slotQueued @14 :SlotQueued;
+    loadDigest @15 :LoadDigest;
   }
 }
 
@@ -206,6 +207,19 @@
   upstream @2 :Text;
 }
 
+struct UpstreamLoad {
+  upstreamHash @0 :UInt64;
+  inFlight @1 :Int32;
+  awaited @2 :Int32;
+  others @3 :Int32;
+  workTimePercent @4 :Int32;
+  reportAge @5 :Int64;
+}
+
+struct LoadDigest {
+  upstreams @0 :List(UpstreamLoad);
+}
+
 struct SuspicionAck {
   contentHash @0 :UInt64;
   level @1 :SuspicionLevel;
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -122,6 +122,8 @@
 };
 CAPNP_DECLARE_ENUM(SuspicionLevel, e44e2557f96f7099);
 CAPNP_DECLARE_SCHEMA(f817c1dcfa8db144);
+CAPNP_DECLARE_SCHEMA(91559c45bc3a9722);
+CAPNP_DECLARE_SCHEMA(c907469322ea2370);
 CAPNP_DECLARE_SCHEMA(da97ca8a2f38086a);
 CAPNP_DECLARE_SCHEMA(95aa7598484eb104);
 CAPNP_DECLARE_SCHEMA(bfb37017736a16c8);
@@ -249,6 +251,7 @@
     CATALOGUE_REQUEST,
     CATALOGUE_DELTA,
     SLOT_QUEUED,
+    LOAD_DIGEST,
   };
 
   struct _capnpPrivate {
@@ -560,6 +563,36 @@
   };
 };
 
+struct UpstreamLoad {
+  UpstreamLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91559c45bc3a9722, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LoadDigest {
+  LoadDigest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SuspicionAck {
   SuspicionAck() = delete;
 
@@ -1241,6 +1274,10 @@
   inline bool hasSlotQueued() const;
   inline  ::kumquatcove::schema::SlotQueued::Reader getSlotQueued() const;
 
+  inline bool isLoadDigest() const;
+  inline bool hasLoadDigest() const;
+  inline  ::kumquatcove::schema::LoadDigest::Reader getLoadDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1390,6 +1427,14 @@
   inline void adoptSlotQueued(::capnp::Orphan< ::kumquatcove::schema::SlotQueued>&& value);
   inline ::capnp::Orphan< ::kumquatcove::schema::SlotQueued> disownSlotQueued();
 
+  inline bool isLoadDigest();
+  inline bool hasLoadDigest();
+  inline  ::kumquatcove::schema::LoadDigest::Builder getLoadDigest();
+  inline void setLoadDigest( ::kumquatcove::schema::LoadDigest::Reader value);
+  inline  ::kumquatcove::schema::LoadDigest::Builder initLoadDigest();
+  inline void adoptLoadDigest(::capnp::Orphan< ::kumquatcove::schema::LoadDigest>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::LoadDigest> disownLoadDigest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3285,6 +3330,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLoad::Reader {
+public:
+  typedef UpstreamLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash() const;
+
+  inline  ::int32_t getInFlight() const;
+
+  inline  ::int32_t getAwaited() const;
+
+  inline  ::int32_t getOthers() const;
+
+  inline  ::int32_t getWorkTimePercent() const;
+
+  inline  ::int64_t getReportAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLoad::Builder {
+public:
+  typedef UpstreamLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
+
+  inline  ::int32_t getInFlight();
+  inline void setInFlight( ::int32_t value);
+
+  inline  ::int32_t getAwaited();
+  inline void setAwaited( ::int32_t value);
+
+  inline  ::int32_t getOthers();
+  inline void setOthers( ::int32_t value);
+
+  inline  ::int32_t getWorkTimePercent();
+  inline void setWorkTimePercent( ::int32_t value);
+
+  inline  ::int64_t getReportAge();
+  inline void setReportAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLoad::Pipeline {
+public:
+  typedef UpstreamLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LoadDigest::Reader {
+public:
+  typedef LoadDigest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadDigest::Builder {
+public:
+  typedef LoadDigest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>> disownUpstreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadDigest::Pipeline {
+public:
+  typedef LoadDigest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SuspicionAck::Reader {
 public:
   typedef SuspicionAck Reads;
@@ -5675,6 +5902,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isLoadDigest() const {
+  return which() == PeerMessage::LOAD_DIGEST;
+}
+inline bool PeerMessage::Builder::isLoadDigest() {
+  return which() == PeerMessage::LOAD_DIGEST;
+}
+inline bool PeerMessage::Reader::hasLoadDigest() const {
+  if (which() != PeerMessage::LOAD_DIGEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasLoadDigest() {
+  if (which() != PeerMessage::LOAD_DIGEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::LoadDigest::Reader PeerMessage::Reader::getLoadDigest() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::LoadDigest::Builder PeerMessage::Builder::getLoadDigest() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setLoadDigest( ::kumquatcove::schema::LoadDigest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::LoadDigest::Builder PeerMessage::Builder::initLoadDigest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptLoadDigest(
+    ::capnp::Orphan< ::kumquatcove::schema::LoadDigest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::LoadDigest> PeerMessage::Builder::disownLoadDigest() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::int64_t OptionalDuration::Reader::getValue() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7351,6 +7632,124 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t UpstreamLoad::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLoad::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t UpstreamLoad::Reader::getInFlight() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t UpstreamLoad::Builder::getInFlight() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setInFlight( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t UpstreamLoad::Reader::getAwaited() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t UpstreamLoad::Builder::getAwaited() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setAwaited( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t UpstreamLoad::Reader::getOthers() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t UpstreamLoad::Builder::getOthers() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setOthers( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t UpstreamLoad::Reader::getWorkTimePercent() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t UpstreamLoad::Builder::getWorkTimePercent() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setWorkTimePercent( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamLoad::Reader::getReportAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLoad::Builder::getReportAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLoad::Builder::setReportAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadDigest::Reader::hasUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setUpstreams( ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SuspicionAck::Reader::getContentHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
