Tell the instances of a region which upstream has handled which object

Cause: an instance knew only the objects that it had sent itself, which is a twentieth of them on a region of 20 instances; a new upstream got a request of every instance as a trial, whatever the object.

Change: the digests of load carry the objects that were handled since the last one. An upstream that is known to have an object is chosen like one on which it is kept; trials are left to requests without an object.

--- a/src/dispatch/object_memory.cc
+++ b/src/dispatch/object_memory.cc
@@ -33,19 +33,6 @@
   m_places.clear();
 }
 
-bool ObjectMemory::IsRecent(ObjectHash object, std::size_t count) const {
-  std::size_t place = 0;
-  for (const ObjectHash known : m_order) {
-    if (place++ >= count) {
-      return false;
-    }
-    if (known == object) {
-      return true;
-    }
-  }
-  return false;
-}
-
 std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
                                       const std::vector<ObjectKeeper>& keepers,
                                       std::size_t count) {
--- a/src/dispatch/object_memory.h
+++ b/src/dispatch/object_memory.h
@@ -24,19 +24,18 @@
 /**
  * Objects that one upstream has handled lately, as far as this instance knows.
  *
- * An upstream remembers a few dozen objects; which others it has handled since
- * isn't known here, so that only the last kCapacity of this instance count.
+ * An upstream remembers a few dozen objects. What instances of other regions
+ * send it isn't known here and displaces some of them, so that only the last
+ * kCapacity ones count.
  * Thread safety: none.
  */
 class ObjectMemory {
  public:
-  static constexpr std::size_t kCapacity = 48;
+  static constexpr std::size_t kCapacity = 20;
 
   /** Notes that the upstream has handled the object. */
   void Note(ObjectHash object);
   bool Contains(ObjectHash object) const { return m_places.contains(object); }
-  /** Returns whether the object is among the last `count` ones. */
-  bool IsRecent(ObjectHash object, std::size_t count) const;
   void Clear();
 
  private:
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -10,17 +10,15 @@
 namespace kumquatcove {
 namespace {
 
-// Probabilities that an upstream has an object at hand: on one where it is
-// kept, if this instance has sent it there, or else by its rank among those;
-// and on another to which it was sent lately. Instances send other objects
-// meanwhile that aren't known here. Later ranks are used only when the first is
-// crowded or slow, so that most objects stay on one upstream.
-constexpr double kKeptFamiliarity = 0.95;
+// Probability that an upstream has an object at hand that it has handled lately
+// for an instance of this region. Others displace objects that aren't known
+// here.
+constexpr double kKnownFamiliarity = 0.95;
+// The same of an upstream on which an object is kept, by its rank among those,
+// if nobody here knows that it has handled it: while this instance doesn't know
+// the upstream for long, others may have sent it there.
 constexpr std::array<double, Placement::kCopies + Placement::kOverflowCopies>
     kUnseenFamiliarity = {0.6, 0.2, 0.1};
-constexpr double kRecentFamiliarity = 0.5;
-// Objects that an upstream surely still has at hand.
-constexpr std::size_t kRecentObjects = 6;
 
 // What a rejected send costs: the way there and back, and a place in the resend
 // budget.
@@ -141,13 +139,10 @@
   if (request.object == 0) {
     return 1;
   }
-  if (rank < kUnseenFamiliarity.size()) {
-    return upstream.objects.Contains(request.object) ? kKeptFamiliarity
-                                                     : kUnseenFamiliarity[rank];
+  if (upstream.objects.Contains(request.object)) {
+    return kKnownFamiliarity;
   }
-  return upstream.objects.IsRecent(request.object, kRecentObjects)
-             ? kRecentFamiliarity
-             : 0;
+  return rank < kUnseenFamiliarity.size() ? kUnseenFamiliarity[rank] : 0;
 }
 
 Placement::Candidate Placement::Judge(const TrackedUpstream& upstream,
@@ -195,7 +190,8 @@
   candidate.cost_us =
       round_trip + wait + work + crowding + rejection +
       static_cast<double>(m_distances.CrossingCost(zone).count());
-  if (upstream.sent == 0 && upstream.region == m_region) {
+  if (request.object == 0 && upstream.sent == 0 && !upstream.has_report &&
+      upstream.region == m_region) {
     candidate.cost_us -= static_cast<double>(kTrialAdvantage.count());
   }
   return candidate;
@@ -211,7 +207,8 @@
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
     const auto place = std::find(plan.keepers.begin(), plan.keepers.end(), id);
-    const bool keeper = request.object == 0 || place != plan.keepers.end();
+    const bool keeper = request.object == 0 || place != plan.keepers.end() ||
+                        upstream.objects.Contains(request.object);
     const bool has_room = HasRoom(upstream, request, keeper, now);
     if (!IsAllowed(upstream, request, now) || (!keeper && !has_room)) {
       continue;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -560,6 +560,7 @@
   }
   if (object != 0) {
     upstream->objects.Note(object);
+    m_shared_load.OnHandled(send.upstream, object);
   }
 }
 
--- a/src/dispatch/shared_load.cc
+++ b/src/dispatch/shared_load.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace kumquatcove {
 namespace {
 
@@ -19,8 +21,16 @@
   return receivers > 0 && now - m_last_digest >= interval;
 }
 
+void SharedLoad::OnHandled(const UpstreamId& upstream, ObjectHash object) {
+  if (m_handled.size() >= kMaxHandled) {
+    m_handled.erase(m_handled.begin());
+  }
+  m_handled.push_back({StableHash(upstream.Text()), object});
+}
+
 LoadDigest SharedLoad::MakeDigest(MonotonicTime now) {
-  LoadDigest digest{m_table.ListOwnLoads(m_last_digest, now)};
+  LoadDigest digest{m_table.ListOwnLoads(m_last_digest, now),
+                    std::exchange(m_handled, {})};
   m_last_digest = now;
   return digest;
 }
@@ -36,6 +46,9 @@
   for (const UpstreamLoad& load : entry.loads) {
     m_table.OnSharedReport(load, now);
   }
+  for (const HandledObject& handled : digest.handled) {
+    m_table.OnSharedObject(handled);
+  }
 }
 
 void SharedLoad::OnTick(MonotonicTime now) {
--- a/src/dispatch/shared_load.h
+++ b/src/dispatch/shared_load.h
@@ -19,7 +19,8 @@
  * instance sees only a small part of the answers, and reports of load and speed
  * are old before the same upstream is chosen again. With the digests of the
  * others an instance knows nearly all requests that an upstream of its region
- * has, and the last report that any of them got. Thread safety: none.
+ * has, the last report that any of them got, and the objects at hand there.
+ * Thread safety: none.
  */
 class SharedLoad {
  public:
@@ -30,6 +31,9 @@
   /** Digests can't come more often than the load changes. */
   static constexpr Duration kMinInterval = Milliseconds(100);
   static constexpr Duration kMaxInterval = Milliseconds(500);
+  /** Bounds a digest; more answers come only from a burst, of which the last
+   * ones matter. */
+  static constexpr std::size_t kMaxHandled = 256;
 
   /** `table` must outlive this object. */
   explicit SharedLoad(UpstreamTable& table) : m_table(table) {}
@@ -37,6 +41,9 @@
   /** Returns whether it is time to send a digest to `receivers` instances. */
   bool IsDue(std::size_t receivers, MonotonicTime now) const;
 
+  /** Notes that an upstream has handled an object for this instance. */
+  void OnHandled(const UpstreamId& upstream, ObjectHash object);
+
   /** Returns the digest to be sent now. */
   LoadDigest MakeDigest(MonotonicTime now);
 
@@ -62,6 +69,7 @@
   UpstreamTable& m_table;
   std::map<InstanceId, Sender> m_senders;
   MonotonicTime m_last_digest;
+  std::vector<HandledObject> m_handled;
 };
 
 }  // namespace kumquatcove
--- a/src/dispatch/structures_test.cc
+++ b/src/dispatch/structures_test.cc
@@ -55,8 +55,10 @@
   CHECK_FALSE(memory.Contains(1));
   CHECK(memory.Contains(2));
   memory.Note(2);
-  CHECK(memory.IsRecent(2, 1));
-  CHECK_FALSE(memory.IsRecent(3, 2));
+  // The one that was noted again last stays, the oldest goes.
+  memory.Note(1000);
+  CHECK(memory.Contains(2));
+  CHECK_FALSE(memory.Contains(3));
   memory.Clear();
   CHECK_FALSE(memory.Contains(2));
 }
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -209,6 +209,13 @@
   upstream.own_report = false;
 }
 
+void UpstreamTable::OnSharedObject(const HandledObject& handled) {
+  const auto found = m_by_hash.find(handled.upstream_hash);
+  if (found != m_by_hash.end()) {
+    Find(found->second)->objects.Note(handled.object_hash);
+  }
+}
+
 std::vector<UpstreamLoad> UpstreamTable::ListOwnLoads(MonotonicTime since,
                                                       MonotonicTime now) const {
   std::vector<UpstreamLoad> loads;
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -126,6 +126,8 @@
   void AddPeerLoad(std::uint64_t upstream_hash, int in_flight, int awaited);
   /** Takes the report that another instance got, if it is newer. */
   void OnSharedReport(const UpstreamLoad& load, MonotonicTime now);
+  /** Notes an object that another instance has had handled. */
+  void OnSharedObject(const HandledObject& handled);
   /** Returns the upstreams that this instance loads, and those that have sent
    * it a report since `since`. */
   std::vector<UpstreamLoad> ListOwnLoads(MonotonicTime since,
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -341,14 +341,25 @@
     (),
     (upstream_hash, in_flight, awaited, others, work_time_percent, report_age))
 
-/** Load that an instance causes at upstreams, and what these reported to it;
- * upstreams that aren't in it have none. */
+/** An upstream has handled an object. */
+struct HandledObject {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  std::uint64_t object_hash = 0;
+  friend bool operator==(const HandledObject&, const HandledObject&) = default;
+};
+BOOST_DESCRIBE_STRUCT(HandledObject, (), (upstream_hash, object_hash))
+
+/** Load that an instance causes at upstreams, and what it has learned of them
+ * since its last digest; upstreams that aren't in it have no load. */
 struct LoadDigest {
   static constexpr std::string_view kName = "load_digest";
   std::vector<UpstreamLoad> upstreams;
+  /** In the order of their answers. */
+  std::vector<HandledObject> handled;
   friend bool operator==(const LoadDigest&, const LoadDigest&) = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadDigest, (), (upstreams))
+BOOST_DESCRIBE_STRUCT(LoadDigest, (), (upstreams, handled))
 
 using PeerMessage = std::variant<Gossip,
                                  SlotRequest,
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -216,8 +216,14 @@
   reportAge @5 :Int64;
 }
 
+struct HandledObject {
+  upstreamHash @0 :UInt64;
+  objectHash @1 :UInt64;
+}
+
 struct LoadDigest {
   upstreams @0 :List(UpstreamLoad);
+  handled @1 :List(HandledObject);
 }
 
 struct SuspicionAck {
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -123,6 +123,7 @@
 CAPNP_DECLARE_ENUM(SuspicionLevel, e44e2557f96f7099);
 CAPNP_DECLARE_SCHEMA(f817c1dcfa8db144);
 CAPNP_DECLARE_SCHEMA(91559c45bc3a9722);
+CAPNP_DECLARE_SCHEMA(e83c91b93747206d);
 CAPNP_DECLARE_SCHEMA(c907469322ea2370);
 CAPNP_DECLARE_SCHEMA(da97ca8a2f38086a);
 CAPNP_DECLARE_SCHEMA(95aa7598484eb104);
@@ -578,6 +579,21 @@
   };
 };
 
+struct HandledObject {
+  HandledObject() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e83c91b93747206d, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LoadDigest {
   LoadDigest() = delete;
 
@@ -586,7 +602,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3431,6 +3447,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class HandledObject::Reader {
+public:
+  typedef HandledObject Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash() const;
+
+  inline  ::uint64_t getObjectHash() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HandledObject::Builder {
+public:
+  typedef HandledObject Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
+
+  inline  ::uint64_t getObjectHash();
+  inline void setObjectHash( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HandledObject::Pipeline {
+public:
+  typedef HandledObject Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LoadDigest::Reader {
 public:
   typedef LoadDigest Reads;
@@ -3451,6 +3548,9 @@
   inline bool hasUpstreams() const;
   inline  ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
 
+  inline bool hasHandled() const;
+  inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Reader getHandled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3486,6 +3586,13 @@
   inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLoad,  ::capnp::Kind::STRUCT>> disownUpstreams();
 
+  inline bool hasHandled();
+  inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Builder getHandled();
+  inline void setHandled( ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Builder initHandled(unsigned int size);
+  inline void adoptHandled(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>> disownHandled();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7716,6 +7823,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HandledObject::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HandledObject::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HandledObject::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HandledObject::Reader::getObjectHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HandledObject::Builder::getObjectHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HandledObject::Builder::setObjectHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LoadDigest::Reader::hasUpstreams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7750,6 +7885,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LoadDigest::Reader::hasHandled() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasHandled() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getHandled() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getHandled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setHandled( ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initHandled(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptHandled(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownHandled() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SuspicionAck::Reader::getContentHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
