Learn how many objects upstreams remember; charge displaced objects fully

Change: ObjectRecall learns the share of objects at hand by the number of others that were handled since, and WorkLearner keeps times that include a wait or an unclear case out of the averages.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -17,6 +17,7 @@
 #include "dispatch/dispatch_reducer.h"
 #include "dispatch/idle_connections.h"
 #include "dispatch/object_memory.h"
+#include "dispatch/object_recall.h"
 #include "dispatch/placement.h"
 #include "dispatch/request_dispatcher.h"
 #include "dispatch/resend_budget.h"
@@ -26,6 +27,7 @@
 #include "dispatch/sliding_count.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
+#include "dispatch/work_learner.h"
 #include "dispatch/zone_distances.h"
 
 #endif  // DISPATCH_DISPATCH_H_
--- a/src/dispatch/object_memory.cc
+++ b/src/dispatch/object_memory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "base/hash.h"
@@ -33,6 +34,14 @@
   m_places.clear();
 }
 
+std::optional<std::size_t> ObjectMemory::FindPlace(ObjectHash object) const {
+  if (!Contains(object)) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(std::distance(
+      m_order.begin(), std::find(m_order.begin(), m_order.end(), object)));
+}
+
 std::vector<UpstreamId> ChooseKeepers(ObjectHash object,
                                       const std::vector<ObjectKeeper>& keepers,
                                       std::size_t count) {
--- a/src/dispatch/object_memory.h
+++ b/src/dispatch/object_memory.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,18 +25,20 @@
 /**
  * Objects that one upstream has handled lately, as far as this instance knows.
  *
- * An upstream remembers a few dozen objects. What instances of other regions
- * send it isn't known here and displaces some of them, so that only the last
- * kCapacity ones count.
- * Thread safety: none.
+ * What instances of other regions send it isn't known here; see ObjectRecall
+ * for what the upstream still remembers. Thread safety: none.
  */
 class ObjectMemory {
  public:
-  static constexpr std::size_t kCapacity = 20;
+  /** More than any upstream is expected to remember. */
+  static constexpr std::size_t kCapacity = 42;
 
   /** Notes that the upstream has handled the object. */
   void Note(ObjectHash object);
   bool Contains(ObjectHash object) const { return m_places.contains(object); }
+  /** Returns the number of objects that were handled after this one; nothing
+   * if it isn't known. */
+  std::optional<std::size_t> FindPlace(ObjectHash object) const;
   void Clear();
 
  private:
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -10,15 +10,13 @@
 namespace kumquatcove {
 namespace {
 
-// Probability that an upstream has an object at hand that it has handled lately
-// for an instance of this region. Others displace objects that aren't known
-// here.
-constexpr double kKnownFamiliarity = 0.95;
-// The same of an upstream on which an object is kept, by its rank among those,
-// if nobody here knows that it has handled it: while this instance doesn't know
-// the upstream for long, others may have sent it there.
+// Probability that an upstream on which an object is kept has it at hand, by
+// its rank among those, if nobody here knows that it has handled it: this
+// instance may have missed that, or another region may have sent it there.
 constexpr std::array<double, Placement::kCopies + Placement::kOverflowCopies>
     kUnseenFamiliarity = {0.6, 0.2, 0.1};
+// From this probability on an upstream counts as one that has the object.
+constexpr double kSureFamiliarity = 0.5;
 
 // What a rejected send costs: the way there and back, and a place in the resend
 // budget.
@@ -41,9 +39,9 @@
 constexpr double kCrowdingCost = 0.15;
 
 // Work without the object at hand takes slots from other requests and displaces
-// another object, which is missing then: so many times its extra time, if the
-// slots of the region are in use.
-constexpr double kMissCost = 2;
+// another object, which is missing then, and all that wait are served later: so
+// many times its extra time, if the slots of the region are in use.
+constexpr double kMissCost = 4;
 // Load of a region's slots up to which that costs nothing, and from which on it
 // costs all.
 constexpr double kFreeLoad = 0.4;
@@ -142,24 +140,33 @@
   }
 }
 
-double Placement::EstimateFamiliarity(const TrackedUpstream& upstream,
-                                      const PlacementRequest& request,
+double Placement::EstimateFamiliarity(const PlacementRequest& request,
+                                      std::optional<std::size_t> object_place,
                                       std::size_t rank) const {
   if (request.object == 0) {
     return 1;
   }
-  if (upstream.objects.Contains(request.object)) {
-    return kKnownFamiliarity;
+  if (object_place) {
+    return m_recall.Estimate(request.service, *object_place);
   }
   return rank < kUnseenFamiliarity.size() ? kUnseenFamiliarity[rank] : 0;
 }
 
+bool Placement::HasObject(const TrackedUpstream& upstream,
+                          const PlacementRequest& request) const {
+  const std::optional<std::size_t> place =
+      upstream.objects.FindPlace(request.object);
+  return place && m_recall.Estimate(request.service, *place) > kSureFamiliarity;
+}
+
 Placement::Candidate Placement::Judge(const TrackedUpstream& upstream,
                                       const PlacementRequest& request,
                                       std::size_t rank,
                                       double region_load,
                                       MonotonicTime now) const {
-  const double familiarity = EstimateFamiliarity(upstream, request, rank);
+  const std::optional<std::size_t> object_place =
+      upstream.objects.FindPlace(request.object);
+  const double familiarity = EstimateFamiliarity(request, object_place, rank);
   const auto familiar_time = static_cast<double>(
       m_times.Expect(request.service, ObjectFamiliarity::kFamiliar).count());
   const auto unknown_time = static_cast<double>(
@@ -190,7 +197,8 @@
 
   Candidate candidate;
   candidate.choice.upstream = upstream.registration.id;
-  candidate.choice.familiarity = familiarity > 0.5
+  candidate.choice.object_place = object_place;
+  candidate.choice.familiarity = familiarity > kSureFamiliarity
                                      ? ObjectFamiliarity::kFamiliar
                                      : ObjectFamiliarity::kUnknown;
   candidate.choice.occupancy = occupancy;
@@ -247,7 +255,7 @@
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
     const auto place = std::find(plan.keepers.begin(), plan.keepers.end(), id);
     const bool keeper = request.object == 0 || place != plan.keepers.end() ||
-                        upstream.objects.Contains(request.object);
+                        HasObject(upstream, request);
     const bool has_room = HasRoom(upstream, request, keeper, now);
     if (!IsAllowed(upstream, request, now) || (!keeper && !has_room)) {
       continue;
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -9,6 +9,7 @@
 #include "base/name.h"
 #include "base/random.h"
 #include "dispatch/object_memory.h"
+#include "dispatch/object_recall.h"
 #include "dispatch/service_times.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/zone_distances.h"
@@ -38,6 +39,9 @@
 struct PlacementChoice {
   UpstreamId upstream;
   ObjectFamiliarity familiarity = ObjectFamiliarity::kUnknown;
+  /** Number of objects that it is known to have handled after the request's;
+   * nothing if it isn't known to have handled that one. */
+  std::optional<std::size_t> object_place;
   /** Expected time from now to the answer. */
   Duration completion{0};
   /** Expected time at the upstream, without network and waiting. */
@@ -88,10 +92,12 @@
   /** The references must outlive this object. */
   Placement(const UpstreamTable& upstreams,
             const ServiceTimes& times,
+            const ObjectRecall& recall,
             const ZoneDistances& distances,
             RegionName region)
       : m_upstreams(upstreams),
         m_times(times),
+        m_recall(recall),
         m_distances(distances),
         m_region(std::move(region)) {}
 
@@ -132,10 +138,14 @@
                   const std::vector<const TrackedUpstream*>& upstreams,
                   MonotonicTime now,
                   Plan& plan) const;
-  /** `rank` is the upstream's place among the keepers, or their number. */
-  double EstimateFamiliarity(const TrackedUpstream& upstream,
-                             const PlacementRequest& request,
+  /** `object_place` is that of PlacementChoice, `rank` the upstream's place
+   * among the keepers, or their number. */
+  double EstimateFamiliarity(const PlacementRequest& request,
+                             std::optional<std::size_t> object_place,
                              std::size_t rank) const;
+  /** Returns whether an upstream is likely to have the request's object. */
+  bool HasObject(const TrackedUpstream& upstream,
+                 const PlacementRequest& request) const;
   /** `region_load` is the number of requests of the upstream's region for each
    * of its slots. */
   Candidate Judge(const TrackedUpstream& upstream,
@@ -153,6 +163,7 @@
 
   const UpstreamTable& m_upstreams;
   const ServiceTimes& m_times;
+  const ObjectRecall& m_recall;
   const ZoneDistances& m_distances;
   RegionName m_region;
 };
--- a/src/dispatch/placement_load_test.cc
+++ b/src/dispatch/placement_load_test.cc
@@ -16,6 +16,7 @@
 #include "base/random.h"
 #include "dispatch/placement.h"
 #include "dispatch/shared_load.h"
+#include "dispatch/work_learner.h"
 
 namespace kumquatcove {
 namespace {
@@ -141,12 +142,14 @@
              const DispatchSettings& settings)
         : region(region_name),
           distances(zone_name, region_name, settings),
-          placement(table, times, distances, region_name) {}
+          placement(table, times, recall, distances, region_name) {}
 
     RegionName region;
     UpstreamTable table;
     SharedLoad shared{table};
     ServiceTimes times;
+    ObjectRecall recall;
+    WorkLearner learner{times, recall};
     ZoneDistances distances;
     Placement placement;
   };
@@ -155,6 +158,7 @@
     std::size_t upstream;
     std::size_t instance;
     ObjectHash object;
+    PlacementChoice choice;
     MonotonicTime arrived;
     Duration round_trip;
     bool counted;
@@ -180,24 +184,27 @@
     const ObjectHash object = HashObject(
         instance.region.Text(),
         std::to_string(m_random.NextBelow(m_load.objects_per_region)));
-    const std::size_t chosen = Choose(instance, object, now);
+    const PlacementChoice choice = Choose(instance, object, now);
+    const std::size_t chosen = IndexOf(choice.upstream);
     ModelUpstream& upstream = m_upstreams[chosen];
     const Duration round_trip =
         upstream.region == instance.region ? Duration(0) : kRegionRoundTrip;
     instance.table.OnStarted(upstream.registration.id);
     ++upstream.present;
     m_running.push({upstream.Serve(m_load, object, now, m_random), chosen,
-                    number, object, now, round_trip, counted});
+                    number, object, choice, now, round_trip, counted});
   }
 
-  std::size_t Choose(Instance& instance, ObjectHash object, MonotonicTime now) {
+  PlacementChoice Choose(Instance& instance,
+                         ObjectHash object,
+                         MonotonicTime now) {
     if (m_policy != Policy::kRandomFree) {
       PlacementRequest request;
       request.service = Vitrina();
       request.object = object;
       const auto choice = instance.placement.Choose(request, now, m_random);
       REQUIRE(choice.has_value());
-      return IndexOf(choice->upstream);
+      return *choice;
     }
     // The naive choice knows all upstreams exactly.
     std::vector<std::size_t> free;
@@ -206,8 +213,12 @@
         free.push_back(i);
       }
     }
-    return free.empty() ? m_random.NextBelow(m_upstreams.size())
-                        : free[m_random.NextBelow(free.size())];
+    const std::size_t chosen = free.empty()
+                                   ? m_random.NextBelow(m_upstreams.size())
+                                   : free[m_random.NextBelow(free.size())];
+    PlacementChoice choice;
+    choice.upstream = m_upstreams[chosen].registration.id;
+    return choice;
   }
 
   std::size_t IndexOf(const UpstreamId& id) const {
@@ -228,11 +239,12 @@
       instance.table.OnEnded(id, SendResult::kAnswered, done.end);
       instance.table.OnLoadReport(id, {upstream.present, 0, 3, 100}, done.end);
       TrackedUpstream& tracked = *instance.table.Find(id);
-      instance.times.Add(Vitrina(),
-                         tracked.objects.Contains(done.object)
-                             ? ObjectFamiliarity::kFamiliar
-                             : ObjectFamiliarity::kUnknown,
-                         done.end - done.arrived);
+      PlacementRequest request;
+      request.service = Vitrina();
+      request.object = done.object;
+      instance.learner.OnSuccess(request, done.choice,
+                                 upstream.registration.slots,
+                                 done.end - done.arrived);
       tracked.objects.Note(done.object);
       instance.shared.OnHandled(id, done.object);
       if (done.counted) {
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -66,8 +66,9 @@
                                      const DispatchSettings& settings)
     : m_region(self.region),
       m_routes(std::make_shared<const RouteTable>()),
+      m_learner(m_times, m_recall),
       m_distances(self.zone, self.region, settings),
-      m_placement(m_upstreams, m_times, m_distances, self.region),
+      m_placement(m_upstreams, m_times, m_recall, m_distances, self.region),
       m_overflow(settings.max_region_shift),
       m_shared_load(m_upstreams),
       m_resends(settings) {}
@@ -542,19 +543,16 @@
   const Duration spent =
       now - send.sent_at - m_distances.RoundTrip(upstream->registration.zone);
   const double ratio = event.load ? event.load->work_time_percent / 100.0 : 1;
-  const bool known = object == 0 || upstream->objects.Contains(object);
+  const auto usual = Duration(static_cast<std::int64_t>(
+      static_cast<double>(spent.count()) / std::max(ratio, 0.1)));
   if (!m_upstreams.IsCold(*upstream, now)) {
-    m_times.Add(
-        request.service,
-        known ? ObjectFamiliarity::kFamiliar : ObjectFamiliarity::kUnknown,
-        Duration(static_cast<std::int64_t>(static_cast<double>(spent.count()) /
-                                           std::max(ratio, 0.1))));
+    m_learner.OnSuccess(request.placement, send.choice,
+                        upstream->registration.slots, usual);
     const Duration expected =
-        m_times.Expect(request.service, known ? ObjectFamiliarity::kFamiliar
-                                              : ObjectFamiliarity::kUnknown);
+        m_times.Expect(request.service, send.choice.familiarity);
     m_upstreams.OnAnswerTime(
         send.upstream,
-        static_cast<double>(spent.count()) / std::max(ratio, 0.1) /
+        static_cast<double>(usual.count()) /
             static_cast<double>(std::max<std::int64_t>(expected.count(), 1)),
         now);
   }
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -14,6 +14,7 @@
 #include "dispatch/crash_suspicions.h"
 #include "dispatch/dispatch_request.h"
 #include "dispatch/idle_connections.h"
+#include "dispatch/object_recall.h"
 #include "dispatch/placement.h"
 #include "dispatch/region_overflow.h"
 #include "dispatch/resend_budget.h"
@@ -22,6 +23,7 @@
 #include "dispatch/shared_load.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
+#include "dispatch/work_learner.h"
 #include "dispatch/zone_distances.h"
 #include "protocol/context.h"
 #include "protocol/event.h"
@@ -173,6 +175,8 @@
   bool m_ready = false;
   UpstreamTable m_upstreams;
   ServiceTimes m_times;
+  ObjectRecall m_recall;
+  WorkLearner m_learner;
   ZoneDistances m_distances;
   Placement m_placement;
   IdleConnections m_idle;
