--- a/src/dispatch/limits_test.cc
+++ b/src/dispatch/limits_test.cc
@@ -169,6 +169,7 @@
     // Requests come in bursts, between which every instance is idle.
     std::vector<ColdStartPacer> pacers(static_cast<std::size_t>(instances));
     std::vector<Duration> clock_errors;
+    clock_errors.reserve(pacers.size());
     for (int i = 0; i < instances; ++i) {
       clock_errors.emplace_back(
           static_cast<std::int64_t>(random.NextBelow(200'000)));
