Keep objects of routes with home regions on upstreams at home; test homes

Cause: the upstreams on which an object is kept were chosen among those of all regions, so that most objects of a route with home regions had none that it may use. No deployment at hand has such routes; found by reading.

Change: only upstreams at home keep them. A test with a route at home in another region checks that it runs nowhere else, waits while its home is full and is refused without one.

--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -283,6 +283,37 @@
   }
 }
 
+TEST_CASE("A request with home regions runs in no other region") {
+  DispatchSettings settings = FakeDispatchWorld::MakeSettings();
+  settings.zones["arequipa-a"] = "arequipa";
+  FakeDispatchWorld world(settings);
+  world.codec.home_regions = {RegionName("arequipa")};
+  world.AddUpstream("near", "despacho", "lima-a");
+  world.AddUpstream("home", "despacho", "arequipa-a");
+  world.Start("5 a.example /order/ despacho n");
+  // More than the upstream at home takes at once: the others wait for it.
+  std::vector<RequestId> requests;
+  for (int i = 0; i < 8; ++i) {
+    requests.push_back(world.Request("/order/" + std::to_string(i)));
+  }
+  for (std::size_t i = 0; i < world.sends.size(); ++i) {
+    world.Reply(i, world.Answer(200));
+  }
+  world.Pass(Seconds(2));
+  for (const FakeSend& send : world.sends) {
+    CHECK(send.upstream == UpstreamId("home"));
+  }
+  for (const RequestId request : requests) {
+    CHECK(world.answers.contains(request));
+  }
+  // Without an upstream at home it is refused, though another has room.
+  world.table.Remove("upstreams/home");
+  world.Pass(Seconds(2));
+  const RequestId homeless = world.Request("/order/homeless");
+  CHECK(world.AnswerOf(homeless).outcome == Outcome::kDidNotRun);
+  CHECK(world.AnswerOf(homeless).reason == RefusalReason::kNoUpstream);
+}
+
 TEST_CASE("A store outage changes nothing for requests") {
   SmallWorld world;
   world.store_up = false;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -53,14 +53,17 @@
 
 }  // namespace
 
+bool Placement::IsAtHome(const TrackedUpstream& upstream,
+                         const PlacementRequest& request) {
+  const std::vector<RegionName>& homes = request.home_regions;
+  return homes.empty() ||
+         std::find(homes.begin(), homes.end(), upstream.region) != homes.end();
+}
+
 bool Placement::IsAllowed(const TrackedUpstream& upstream,
                           const PlacementRequest& request,
                           MonotonicTime now) const {
-  const std::vector<RegionName>& homes = request.home_regions;
-  const bool at_home =
-      homes.empty() ||
-      std::find(homes.begin(), homes.end(), upstream.region) != homes.end();
-  return at_home && m_upstreams.IsOpen(upstream, now) &&
+  return IsAtHome(upstream, request) && m_upstreams.IsOpen(upstream, now) &&
          !Contains(request.excluded, upstream.registration.id);
 }
 
@@ -87,7 +90,7 @@
   std::vector<const TrackedUpstream*> staying;
   for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    if (m_upstreams.IsStaying(upstream)) {
+    if (m_upstreams.IsStaying(upstream) && IsAtHome(upstream, request)) {
       staying.push_back(&upstream);
     }
     if (upstream.region == m_region && IsAllowed(upstream, request, now)) {
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -130,6 +130,9 @@
     RegionName region;
   };
 
+  /** Returns whether the request may run in the upstream's region. */
+  static bool IsAtHome(const TrackedUpstream& upstream,
+                       const PlacementRequest& request);
   bool IsAllowed(const TrackedUpstream& upstream,
                  const PlacementRequest& request,
                  MonotonicTime now) const;
--- a/src/registry/fake_registry_codec.h
+++ b/src/registry/fake_registry_codec.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <boost/json/parse.hpp>
 
@@ -53,6 +54,8 @@
   /** Time-outs of all routes. */
   Duration timeout = Seconds(1);
   std::int32_t max_upstreams = 2;
+  /** Home regions of all routes. */
+  std::vector<RegionName> home_regions;
 
  private:
   RegistryRecord ReadRoutes(std::istringstream& in) const {
@@ -68,6 +71,7 @@
                                                  : RequestClass::kNonIdempotent;
       route.max_upstreams = max_upstreams;
       route.timeout = timeout;
+      route.home_regions = home_regions;
       route.latency_objective = Milliseconds(250);
       route.has_object_affinity = true;
       configuration.routes.push_back(route);
