Let the share that overflows rise while it is wanted now and then

The limit on moves to unplanned regions fell in each tenth of a second in which no request of the instance was denied; at some ten requests a second it never rose.

Change: the limit rises for a second after a denied request. The new test failed before (no request moved).

--- a/src/dispatch/limits_test.cc
+++ b/src/dispatch/limits_test.cc
@@ -199,6 +199,31 @@
   }));
 }
 
+// Guards against refusals in a region whose upstreams are full while others are
+// idle: the limit fell in each tenth of a second in which no request of the
+// instance wanted to move, 0.7 of them at 10 requests a second.
+TEST_CASE("The share that may overflow rises also while few requests come") {
+  RegionOverflow overflow(0.15);
+  int moved = 0;
+  int total = 0;
+  for (Duration time{0}; time < Seconds(30); time += Milliseconds(10)) {
+    overflow.OnTick(At(time));
+    if (time % Milliseconds(300) != Duration(0)) {
+      continue;
+    }
+    const bool allowed = overflow.IsAllowed(At(time));
+    overflow.OnPlaced(allowed, At(time));
+    if (!allowed) {
+      overflow.OnDenied(At(time));
+    }
+    if (time >= Seconds(20)) {
+      ++total;
+      moved += allowed ? 1 : 0;
+    }
+  }
+  CHECK(moved > total / 2);
+}
+
 // Guards against SHIFT: 32 to 51% of a region's requests changed their region
 // in the first seconds of a day, while upstreams had no object at hand.
 TEST_CASE(
@@ -223,7 +248,7 @@
       const bool allowed = instance.IsAllowed(At(time));
       instance.OnPlaced(wanted && allowed, At(time));
       if (wanted && !allowed) {
-        instance.OnDenied();
+        instance.OnDenied(At(time));
       }
       ++total;
       moved += wanted && allowed ? 1 : 0;
--- a/src/dispatch/region_overflow.cc
+++ b/src/dispatch/region_overflow.cc
@@ -11,6 +11,10 @@
 // Share that is allowed at once, as part of the bound.
 constexpr double kInitialPart = 0.25;
 constexpr Duration kAdjustInterval = Milliseconds(100);
+// More is wanted for this long after a request that wasn't allowed to overflow.
+// An instance gets some ten requests a second, of which not all would move, so
+// that a shorter time would end a rise between two of them.
+constexpr Duration kWantedTime = Seconds(1);
 
 }  // namespace
 
@@ -40,9 +44,9 @@
                       std::min(1.0, static_cast<double>(passed.count()) /
                                         static_cast<double>(kWindow.count()));
   m_adjusted = now;
+  const bool wanted = m_denied && now - *m_denied < kWantedTime;
   const double initial = m_max_shift * kInitialPart;
-  m_limit = std::clamp(m_limit + (m_denied ? step : -step), initial, 1.0);
-  m_denied = false;
+  m_limit = std::clamp(m_limit + (wanted ? step : -step), initial, 1.0);
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/region_overflow.h
+++ b/src/dispatch/region_overflow.h
@@ -1,6 +1,8 @@
 #ifndef DISPATCH_REGION_OVERFLOW_H_
 #define DISPATCH_REGION_OVERFLOW_H_
 
+#include <optional>
+
 #include "base/clock_reading.h"
 #include "dispatch/sliding_count.h"
 
@@ -12,9 +14,9 @@
  *
  * The platform bounds the share of a region's requests that change the region
  * from one window of two seconds to the next. Each instance keeps its own share
- * within a limit that rises slowly while more is wanted and falls slowly while
- * less is used, so that the bound holds for all instances of the region without
- * messages. Thread safety: none.
+ * within a limit that rises slowly while more is wanted and falls slowly once
+ * that has ended, so that the bound holds for all instances of the region
+ * without messages. Thread safety: none.
  */
 class RegionOverflow {
  public:
@@ -35,7 +37,7 @@
   void OnPlaced(bool overflow, MonotonicTime now);
 
   /** Notes that another region would have been better for a request. */
-  void OnDenied() { m_denied = true; }
+  void OnDenied(MonotonicTime now) { m_denied = now; }
 
   /** Adjusts the limit; to be called at least every 100 ms. */
   void OnTick(MonotonicTime now);
@@ -46,7 +48,7 @@
   SlidingCount m_placed;
   SlidingCount m_overflowed;
   MonotonicTime m_adjusted;
-  bool m_denied = false;
+  std::optional<MonotonicTime> m_denied;
 };
 
 }  // namespace kumquatcove
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -231,7 +231,7 @@
   std::optional<PlacementChoice> choice =
       m_placement.Choose(request.placement, now, context.RandomNumbers());
   if (choice && choice->overflow_denied) {
-    m_overflow.OnDenied();
+    m_overflow.OnDenied(now);
   }
   return choice;
 }
