--- a/src/protocol/dispatch_settings.h
+++ b/src/protocol/dispatch_settings.h
@@ -31,8 +31,6 @@
   /** Time within which an upstream that has announced its leaving gets no more
    * requests. */
   double drain_s = 2;
-  /** Time within which a configuration change must be in force. */
-  double configuration_s = 2;
   /** Greatest share of a region's requests that may move to another region from
    * one window of two seconds to the next. */
   double max_region_shift = 0.15;
@@ -53,7 +51,6 @@
                        grace_s,
                        max_lookup_ttl_s,
                        drain_s,
-                       configuration_s,
                        max_region_shift,
                        zone_crossing_cost_s,
                        region_crossing_cost_s))
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -160,7 +160,6 @@
   check("grace_s", limits.grace_s, 0.5, 3600);
   check("max_lookup_ttl_s", limits.max_lookup_ttl_s, 0.1, 3600);
   check("drain_s", limits.drain_s, 0.1, 3600);
-  check("configuration_s", limits.configuration_s, 0.1, 3600);
   check("max_region_shift", limits.max_region_shift, 0, 1);
   check("zone_crossing_cost_s", limits.zone_crossing_cost_s, 0, 60);
   check("region_crossing_cost_s", limits.region_crossing_cost_s, 0, 60);
