Play the users' platform on loopback and soak real processes on it

src/platform/stand_in has the platform's store, registered upstreams and callers in one thread, by the published protocol; kumquatcove-soak starts entry instances as processes and plays faults drawn from a seed, each followed by planned work whose bounds are checked.

Children of ChildProcess no longer inherit sockets: a daemon kept connections of the soak's own upstreams open, so that ports stayed in use.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,9 +1,10 @@
-# kumquatcove_add_module(NAME [LIBRARIES ...])
-# Builds the library kumquatcove_NAME from the sources of src/NAME and one test program from its *_test.cc files.
-# Files are found by pattern, so that adding a class needs no change here.
-function(kumquatcove_add_module name)
+# kumquatcove_add_module(FOLDER [LIBRARIES ...])
+# Builds the library kumquatcove_NAME from the sources of src/FOLDER and one test program from its *_test.cc files; NAME
+# is the folder with _ for /. Files are found by pattern, so that adding a class needs no change here.
+function(kumquatcove_add_module folder)
   cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
-  set(directory ${CMAKE_CURRENT_SOURCE_DIR}/${name})
+  set(directory ${CMAKE_CURRENT_SOURCE_DIR}/${folder})
+  string(REPLACE "/" "_" name ${folder})
   file(GLOB sources CONFIGURE_DEPENDS ${directory}/*.cc ${directory}/*.capnp.c++)
   # Generated code isn't ours to change, so its warnings are off.
   file(GLOB generated CONFIGURE_DEPENDS ${directory}/*.capnp.c++)
--- a/src/deployment/child_process.cc
+++ b/src/deployment/child_process.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <sstream>
 
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <unistd.h>
 
@@ -25,9 +26,11 @@
 }
 
 // A process that outlives a crashed test would keep its ports and answer the
-// next test in place of the processes under test.
-constexpr auto kEndWithParent = [](auto& /*executor*/) {
+// next test in place of the processes under test. One that inherits sockets of
+// this process would keep their connections open and their ports in use.
+constexpr auto kIsolate = [](auto& /*executor*/) {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
 };
 
 }  // namespace
@@ -42,7 +45,7 @@
               process::std_out > log_file,
               process::std_err > log_file + ".err",
               process::std_in < process::null,
-              process::extend::on_exec_setup = kEndWithParent) {}
+              process::extend::on_exec_setup = kIsolate) {}
 
   void Signal(int number) const { ::kill(child.id(), number); }
 
--- /dev/null
+++ b/src/platform/stand_in/caller_stand_in.h
@@ -0,0 +1,91 @@
+#ifndef PLATFORM_STAND_IN_CALLER_STAND_IN_H_
+#define PLATFORM_STAND_IN_CALLER_STAND_IN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock_reading.h"
+#include "base/random.h"
+#include "platform/stand_in/soak_ledger.h"
+#include "runtime/http_connection.h"
+#include "runtime/io_thread.h"
+
+namespace kumquatcove::stand_in {
+
+/** Callers of the stand-in. */
+struct CallerStandInSettings {
+  /** Availability zones with their regions. */
+  std::map<std::string, std::string> zones;
+  /** Look-up addresses of all entry instances. */
+  std::vector<std::string> lookup_addresses;
+  std::string host;
+  double requests_per_second = 60;
+};
+
+/**
+ * Callers of all zones: ask where to connect, send idempotent and other
+ * requests, and repeat those that may be repeated once.
+ *
+ * Thread safety: all functions but the constructor run on the IoThread.
+ */
+class CallerStandIn {
+ public:
+  /** The references must outlive this object. */
+  CallerStandIn(IoThread& io,
+                SoakLedger& ledger,
+                CallerStandInSettings settings,
+                std::uint64_t seed);
+
+  void Start();
+  /** Sends nothing new; what is under way goes on. */
+  void Stop() { m_stopped = true; }
+  /** Returns the number of requests under way. */
+  std::size_t Pending() const { return m_calls.size(); }
+
+ private:
+  struct Call {
+    std::unique_ptr<HttpConnection> connection;
+    std::string zone;
+    std::string address;
+    bool idempotent = false;
+    std::string target;
+    std::string attempt;
+    int attempts = 0;
+    MonotonicTime started;
+  };
+  /** Where the callers of a zone connect. */
+  struct Directory {
+    std::vector<std::string> addresses;
+    MonotonicTime expires;
+    std::unique_ptr<HttpConnection> lookup;
+  };
+
+  void SendNext();
+  void LookUp(const std::string& zone);
+  void OnLookedUp(const std::string& zone,
+                  const std::optional<HttpResult>& result);
+  void Try(std::uint64_t number);
+  void OnOpened(std::uint64_t number, bool opened);
+  void OnAnswered(std::uint64_t number,
+                  const std::optional<HttpResult>& result);
+  void End(std::uint64_t number, bool served);
+  std::string Pick(const std::vector<std::string>& addresses);
+
+  IoThread& m_io;
+  SoakLedger& m_ledger;
+  CallerStandInSettings m_settings;
+  Random m_random;
+  std::map<std::string, Directory> m_directories;
+  std::map<std::uint64_t, Call> m_calls;
+  std::uint64_t m_last_call = 0;
+  std::uint64_t m_last_attempt = 0;
+  bool m_stopped = false;
+};
+
+}  // namespace kumquatcove::stand_in
+
+#endif  // PLATFORM_STAND_IN_CALLER_STAND_IN_H_
--- /dev/null
+++ b/src/platform/stand_in/soak_ledger.cc
@@ -0,0 +1,108 @@
+#include "platform/stand_in/soak_ledger.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace kumquatcove::stand_in {
+namespace {
+
+/** Returns whether a status tells a caller that its request has not run and
+ * never will. */
+bool PromisesNotRun(std::int32_t status) {
+  constexpr std::int32_t kRequestTimeout = 408;
+  constexpr std::int32_t kMisdirected = 421;
+  constexpr std::int32_t kTooManyRequests = 429;
+  constexpr std::int32_t kUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirected ||
+         status == kTooManyRequests || status == kUnavailable;
+}
+
+}  // namespace
+
+void SoakLedger::OnSent(const std::string& attempt, bool idempotent) {
+  m_attempts[attempt].idempotent = idempotent;
+}
+
+void SoakLedger::OnRun(const std::string& attempt) {
+  const auto found = m_attempts.find(attempt);
+  if (found == m_attempts.end()) {
+    OnViolation("a request ran that no caller has sent: " + attempt);
+    return;
+  }
+  ++found->second.runs;
+}
+
+void SoakLedger::OnArrivalAfterLeaving(const std::string& upstream,
+                                       MonotonicTime left,
+                                       MonotonicTime now) {
+  if (now - left > kLeavingLimit) {
+    m_late_arrivals.push_back({upstream, left, now});
+  }
+}
+
+void SoakLedger::OnAnswer(const std::string& attempt,
+                          std::int32_t status,
+                          bool whole) {
+  m_attempts[attempt].status = status;
+  if (!whole) {
+    OnViolation("a success isn't the upstream's answer: " + attempt);
+  }
+}
+
+void SoakLedger::OnRequestEnd(MonotonicTime started, bool served) {
+  m_requests.emplace_back(started, served);
+}
+
+void SoakLedger::OnDisturbance(MonotonicTime begin, MonotonicTime end) {
+  m_disturbances.emplace_back(begin, end);
+}
+
+void SoakLedger::OnViolation(std::string text) {
+  m_violations.push_back(std::move(text));
+}
+
+bool SoakLedger::IsCalm(MonotonicTime begin, MonotonicTime end) const {
+  return std::none_of(m_disturbances.begin(), m_disturbances.end(),
+                      [&](const auto& disturbance) {
+                        return disturbance.first < end &&
+                               disturbance.second + kContactTime > begin;
+                      });
+}
+
+std::vector<std::string> SoakLedger::FindViolations() const {
+  std::vector<std::string> violations = m_violations;
+  for (const auto& [id, attempt] : m_attempts) {
+    if (attempt.idempotent) {
+      continue;
+    }
+    if (attempt.runs > 1) {
+      violations.push_back(absl::StrCat("ran ", attempt.runs, " times: ", id));
+    }
+    if (attempt.runs > 0 && PromisesNotRun(attempt.status)) {
+      violations.push_back(
+          absl::StrCat("answered ", attempt.status, " and has run: ", id));
+    }
+  }
+  for (const LateArrival& late : m_late_arrivals) {
+    if (IsCalm(late.left, late.arrived)) {
+      violations.push_back(absl::StrCat(
+          "upstream ", late.upstream, " got a request ",
+          (late.arrived - late.left).count() / 1000, " ms after it left"));
+    }
+  }
+  return violations;
+}
+
+SoakShare SoakLedger::ShareSince(MonotonicTime begin) const {
+  SoakShare share;
+  for (const auto& [started, served] : m_requests) {
+    if (started >= begin) {
+      ++share.requests;
+      share.served += served ? 1 : 0;
+    }
+  }
+  return share;
+}
+
+}  // namespace kumquatcove::stand_in
--- /dev/null
+++ b/src/platform/stand_in/soak_ledger.h
@@ -0,0 +1,83 @@
+#ifndef PLATFORM_STAND_IN_SOAK_LEDGER_H_
+#define PLATFORM_STAND_IN_SOAK_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock_reading.h"
+
+namespace kumquatcove::stand_in {
+
+/** How many of a caller's requests ended with a success. */
+struct SoakShare {
+  int requests = 0;
+  int served = 0;
+};
+
+/**
+ * What callers and upstreams of a soak have seen, and which of the platform's
+ * rules that breaks.
+ *
+ * Thread safety: none.
+ */
+class SoakLedger {
+ public:
+  /** An upstream that leaves must get nothing this long after its row says so,
+   * by the platform's bound for this kind of deployment and a margin for the
+   * scheduling of processes on a busy machine. */
+  static constexpr Duration kLeavingLimit = Milliseconds(2'500);
+  /** Time around a disturbance for which bounds don't hold. */
+  static constexpr Duration kContactTime = Seconds(3);
+
+  /** Notes a caller's send under a new id. */
+  void OnSent(const std::string& attempt, bool idempotent);
+  /** Notes that an upstream has begun to work on a request. */
+  void OnRun(const std::string& attempt);
+  /** Notes a request that reached an upstream which left at `left`. */
+  void OnArrivalAfterLeaving(const std::string& upstream,
+                             MonotonicTime left,
+                             MonotonicTime now);
+  /** Notes the end of a send; a status of 0 stands for no answer. `whole` says
+   * whether a success is what the upstream has made of this request. */
+  void OnAnswer(const std::string& attempt, std::int32_t status, bool whole);
+  /** Notes the end of a caller's request with all its sends. */
+  void OnRequestEnd(MonotonicTime started, bool served);
+  /** Notes a time for which bounds don't hold. */
+  void OnDisturbance(MonotonicTime begin, MonotonicTime end);
+  /** Notes something else that must not happen. */
+  void OnViolation(std::string text);
+
+  /** Checks what can be told only at the end, and returns all that broke a
+   * rule. */
+  std::vector<std::string> FindViolations() const;
+
+  /** Returns the requests that started from `begin` on. */
+  SoakShare ShareSince(MonotonicTime begin) const;
+
+ private:
+  struct Attempt {
+    bool idempotent = false;
+    int runs = 0;
+    std::int32_t status = 0;
+  };
+
+  bool IsCalm(MonotonicTime begin, MonotonicTime end) const;
+
+  std::map<std::string, Attempt> m_attempts;
+  std::vector<std::pair<MonotonicTime, bool>> m_requests;
+  std::vector<std::pair<MonotonicTime, MonotonicTime>> m_disturbances;
+  std::vector<std::string> m_violations;
+  struct LateArrival {
+    std::string upstream;
+    MonotonicTime left;
+    MonotonicTime arrived;
+  };
+  std::vector<LateArrival> m_late_arrivals;
+};
+
+}  // namespace kumquatcove::stand_in
+
+#endif  // PLATFORM_STAND_IN_SOAK_LEDGER_H_
--- /dev/null
+++ b/src/platform/stand_in/soak_run.cc
@@ -0,0 +1,459 @@
+#include "platform/stand_in/soak_run.h"
+
+#include <chrono>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include <unistd.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "emulator/steady_clock.h"
+#include "runtime/log_line.h"
+
+namespace kumquatcove::stand_in {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kCallerPort = 28'548;
+constexpr int kReadyPort = 28'542;
+constexpr int kLookupPort = 28'546;
+constexpr int kPeerPort = 28'540;
+constexpr int kStorePort = 28'541;
+constexpr int kStoreHost = 100;
+constexpr int kUpstreamHost = 101;
+constexpr const char* kHost = "shop.example";
+
+constexpr Duration kStartTimeout = Seconds(10);
+constexpr Duration kAskTimeout = Seconds(2);
+// The platform lets a process that got SIGTERM run this long.
+constexpr Duration kGrace = Seconds(6);
+// A configuration must be in force this long after the store has taken it.
+constexpr Duration kConfigurationTime = Seconds(2);
+// Callers end their requests within this time.
+constexpr Duration kCallerTime = Seconds(5);
+
+constexpr std::int32_t kOk = 200;
+constexpr std::int32_t kNotFound = 404;
+
+/** Availability zones, each with its region. */
+const std::map<std::string, std::string>& Zones() {
+  static const std::map<std::string, std::string> kZones = {
+      {"lima-a", "lima"}, {"lima-b", "lima"}, {"arequipa-a", "arequipa"}};
+  return kZones;
+}
+
+void Sleep(Duration time) {
+  std::this_thread::sleep_for(time);
+}
+
+/** Returns the first three numbers of addresses that other runs on the machine
+ * don't use: the id of this process is in them. */
+std::string OwnNetwork() {
+  const int process = static_cast<int>(::getpid());
+  constexpr int kNumbers = 250;
+  return absl::StrCat("127.", 1 + process / kNumbers % kNumbers, ".",
+                      process % kNumbers, ".");
+}
+
+boost::asio::ip::tcp::endpoint Endpoint(const std::string& ip, int port) {
+  return {boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port)};
+}
+
+json::object RouteJson(const std::string& prefix,
+                       const std::string& service,
+                       const std::string& kind) {
+  return {{"name", "route" + prefix},
+          {"host", kHost},
+          {"prefix", prefix},
+          {"service", service},
+          {"kind", kind},
+          {"max-attempts", 2},
+          {"timeout-s", 1.0},
+          {"aim-s", 0.3},
+          {"priority", 1},
+          {"sticky", true}};
+}
+
+json::object ServiceJson(const std::string& name) {
+  return {{"name", name},
+          {"health-path", "/health"},
+          {"max-connections", 300},
+          {"warmup-s", 0},
+          {"cold-per-s", 10}};
+}
+
+}  // namespace
+
+SoakRun::SoakRun(SoakSettings settings)
+    : m_settings(std::move(settings)),
+      m_network(OwnNetwork()),
+      m_random(m_settings.seed) {
+  std::filesystem::create_directories(m_settings.work_folder);
+  m_io.Start();
+  OnIoThread([this] {
+    m_store = std::make_unique<UserStoreStandIn>(
+        m_io.Context(),
+        Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort),
+        m_settings.seed);
+    PublishConfiguration(++m_version);
+    for (const auto& [zone, region] : Zones()) {
+      for (const char* service : {"browse", "order"}) {
+        AddUpstream(service, zone);
+        AddUpstream(service, zone);
+      }
+    }
+  });
+  int host = 0;
+  for (const auto& [zone, region] : Zones()) {
+    for (int i = 1; i <= m_settings.instances_per_zone; ++i) {
+      Instance& instance = m_instances[absl::StrCat(zone, "-", i)];
+      instance.zone = zone;
+      instance.ip = absl::StrCat(m_network, ++host);
+    }
+  }
+  CallerStandInSettings callers;
+  callers.zones = Zones();
+  callers.host = kHost;
+  callers.requests_per_second = m_settings.requests_per_second;
+  for (auto& [name, instance] : m_instances) {
+    instance.settings_file = m_settings.work_folder + "/" + name + ".json";
+    std::ofstream(instance.settings_file) << FillTemplate(name, instance);
+    callers.lookup_addresses.push_back(
+        absl::StrCat(instance.ip, ":", kLookupPort));
+    StartInstance(name);
+  }
+  for (const auto& [name, instance] : m_instances) {
+    WaitUntilReady(name);
+  }
+  OnIoThread([&] {
+    m_callers = std::make_unique<CallerStandIn>(
+        m_io, m_ledger, std::move(callers), m_settings.seed + 1);
+    m_callers->Start();
+  });
+}
+
+SoakRun::~SoakRun() {
+  m_io.Stop();
+}
+
+void SoakRun::OnIoThread(const std::function<void()>& work) {
+  std::promise<void> done;
+  m_io.Post([&] {
+    try {
+      work();
+      done.set_value();
+    } catch (...) {
+      done.set_exception(std::current_exception());
+    }
+  });
+  done.get_future().get();
+}
+
+std::string SoakRun::FillTemplate(const std::string& name,
+                                  const Instance& instance) const {
+  std::ostringstream text;
+  text << std::ifstream(m_settings.template_file).rdbuf();
+  json::object zones;
+  for (const auto& [zone, region] : Zones()) {
+    zones[zone] = region;
+  }
+  const auto at = [&](int port) {
+    return absl::StrCat(instance.ip, ":", port);
+  };
+  return absl::StrReplaceAll(
+      text.str(), {{"{{node}}", name},
+                   {"{{region}}", Zones().at(instance.zone)},
+                   {"{{zone}}", instance.zone},
+                   {"{{ip}}", instance.ip},
+                   {"{{listen.front}}", at(kCallerPort)},
+                   {"{{listen.directory}}", at(kLookupPort)},
+                   {"{{listen.ready}}", at(kReadyPort)},
+                   {"{{internal-ports.0}}", std::to_string(kPeerPort)},
+                   {"{{platform.address}}",
+                    absl::StrCat(m_network, kStoreHost, ":", kStorePort)},
+                   {"{{zones|json}}", json::serialize(zones)},
+                   {"{{bounds.retry-budget-ratio}}", "0.2"},
+                   {"{{bounds.budget-extra-tries}}", "62"},
+                   {"{{bounds.budget-window-s}}", "10"},
+                   {"{{bounds.grace-s}}", "6"},
+                   {"{{bounds.ttl_max_s}}", "5"},
+                   {"{{bounds.drain-s}}", "2"},
+                   {"{{bounds.max-region-shift}}", "0.15"}});
+}
+
+void SoakRun::StartInstance(const std::string& name) {
+  Instance& instance = m_instances.at(name);
+  instance.process.emplace(
+      m_settings.program,
+      std::vector<std::string>{"--settings", instance.settings_file},
+      absl::StrCat(m_settings.work_folder, "/", name, "-",
+                   m_random.Next() % 1'000'000, ".log"));
+}
+
+std::int32_t SoakRun::Ask(const std::string& address,
+                          const std::string& host,
+                          const std::string& target) {
+  const auto status = std::make_shared<std::promise<std::int32_t>>();
+  auto connection = std::make_shared<std::unique_ptr<HttpConnection>>();
+  const std::string attempt = absl::StrCat("probe-", ++m_last_probe);
+  m_io.Post([=, this] {
+    m_ledger.OnSent(attempt, /*idempotent=*/true);
+    *connection = std::make_unique<HttpConnection>(m_io);
+    (*connection)->Open(address, kAskTimeout, [=](bool opened) {
+      if (!opened) {
+        status->set_value(0);
+        return;
+      }
+      HttpRequest request;
+      request.method = "GET";
+      request.target = target;
+      request.headers = {{"Attempt-Id", attempt}, {"Deadline-Ms", "1000"}};
+      (*connection)
+          ->Send(request, host, kAskTimeout, nullptr,
+                 [status](const std::optional<HttpResult>& result) {
+                   status->set_value(result ? result->answer.status : 0);
+                 });
+    });
+  });
+  const std::int32_t found = status->get_future().get();
+  OnIoThread([&] { connection->reset(); });
+  return found;
+}
+
+void SoakRun::WaitUntilReady(const std::string& name) {
+  const std::string address =
+      absl::StrCat(m_instances.at(name).ip, ":", kReadyPort);
+  const MonotonicTime end = emulator::ReadMonotonicClock() + kStartTimeout;
+  while (Ask(address, address, "/kumquatcove/ready") != kOk) {
+    if (emulator::ReadMonotonicClock() >= end) {
+      throw DeploymentError("instance " + name + " doesn't get ready");
+    }
+    Sleep(Milliseconds(50));
+  }
+}
+
+void SoakRun::PublishConfiguration(int version) {
+  json::array routes{RouteJson("/browse/", "browse", "safe"),
+                     RouteJson("/order/", "order", "unsafe")};
+  // Each version has a route that no earlier one had.
+  routes.push_back(
+      RouteJson(absl::StrCat("/version/", version, "/"), "browse", "safe"));
+  const json::object configuration{
+      {"version", absl::StrCat("r", version)},
+      {"routes", std::move(routes)},
+      {"services", json::array{ServiceJson("browse"), ServiceJson("order")}},
+      {"limits", json::object{{"max-header-bytes", 16'384},
+                              {"max-body-bytes", 1'048'576},
+                              {"header-timeout-s", 5},
+                              {"idle-timeout-s", 10}}}};
+  m_store->Put("op", "config", json::serialize(configuration));
+}
+
+void SoakRun::AddUpstream(const std::string& service, const std::string& zone) {
+  UpstreamStandInSettings upstream;
+  upstream.id = absl::StrCat("i-", ++m_last_upstream);
+  upstream.service = service;
+  upstream.zone = zone;
+  upstream.endpoint = Endpoint(absl::StrCat(m_network, kUpstreamHost), 0);
+  m_upstreams.push_back(std::make_unique<UpstreamStandIn>(
+      m_io.Context(), *m_store, m_ledger, std::move(upstream),
+      m_settings.seed + static_cast<std::uint64_t>(m_last_upstream)));
+}
+
+std::string SoakRun::PickInstance() {
+  return std::next(m_instances.begin(),
+                   static_cast<std::ptrdiff_t>(
+                       m_random.NextBelow(m_instances.size())))
+      ->first;
+}
+
+void SoakRun::NoteDisturbance(const std::function<void()>& fault) {
+  const MonotonicTime begin = emulator::ReadMonotonicClock();
+  fault();
+  OnIoThread(
+      [&] { m_ledger.OnDisturbance(begin, emulator::ReadMonotonicClock()); });
+}
+
+void SoakRun::PlayStoreFault(StoreFault fault, Duration time) {
+  OnIoThread([&] { m_store->SetFault(fault); });
+  Sleep(time);
+  OnIoThread([&] { m_store->SetFault(StoreFault::kNone); });
+}
+
+void SoakRun::PlayFault(SoakFault fault) {
+  const std::string name = PickInstance();
+  Instance& instance = m_instances.at(name);
+  const Duration time = Milliseconds(
+      1'000 + static_cast<std::int64_t>(m_random.NextBelow(2'000)));
+  LogInfo(LogLine("soak_fault")
+              .Add("kind", ToString(fault))
+              .Add("instance", name)
+              .Add("time_us", time.count()));
+  switch (fault) {
+    case SoakFault::kInstanceKilled:
+      instance.process->Kill();
+      Sleep(time);
+      StartInstance(name);
+      WaitUntilReady(name);
+      return;
+    case SoakFault::kInstanceFrozen:
+      instance.process->Freeze();
+      Sleep(time);
+      instance.process->Thaw();
+      return;
+    case SoakFault::kStoreDown:
+      PlayStoreFault(StoreFault::kDown, time);
+      return;
+    case SoakFault::kStoreSilent:
+      PlayStoreFault(StoreFault::kSilent, time);
+      return;
+    case SoakFault::kStoreBusy:
+      PlayStoreFault(StoreFault::kBusy, time);
+      return;
+    case SoakFault::kStoreLosesReplies:
+      PlayStoreFault(StoreFault::kLosesReplies, time);
+      return;
+    case SoakFault::kStoreForgets:
+      OnIoThread([&] { m_store->Compact(); });
+      return;
+    case SoakFault::kUpstreamCrashed: {
+      UpstreamStandIn& upstream =
+          *m_upstreams[m_random.NextBelow(m_upstreams.size())];
+      OnIoThread([&] { upstream.Crash(); });
+      Sleep(time);
+      OnIoThread(
+          [&] { upstream.Restart(absl::StrCat("i-", ++m_last_upstream)); });
+      return;
+    }
+  }
+}
+
+void SoakRun::PlayWork(SoakWork work) {
+  LogInfo(LogLine("soak_work").Add("kind", ToString(work)));
+  switch (work) {
+    case SoakWork::kUpstreamReplaced:
+      DrainAndReplace();
+      return;
+    case SoakWork::kConfigurationChanged:
+      ChangeConfiguration();
+      return;
+    case SoakWork::kInstanceRestarted: {
+      const std::string name = PickInstance();
+      Stop(name);
+      StartInstance(name);
+      WaitUntilReady(name);
+      return;
+    }
+  }
+}
+
+void SoakRun::DrainAndReplace() {
+  const std::size_t index = m_random.NextBelow(m_upstreams.size());
+  OnIoThread([&] {
+    const UpstreamStandInSettings& leaving = m_upstreams[index]->Settings();
+    AddUpstream(leaving.service, leaving.zone);
+    m_upstreams[index]->Drain();
+  });
+  Sleep(SoakLedger::kLeavingLimit + Seconds(2));
+  OnIoThread([&] {
+    m_upstreams[index]->Deregister();
+    // What still runs is cut; callers of the last seconds use others.
+    m_upstreams[index]->Crash();
+    std::swap(m_upstreams[index], m_upstreams.back());
+    m_retired.push_back(std::move(m_upstreams.back()));
+    m_upstreams.pop_back();
+  });
+}
+
+void SoakRun::ChangeConfiguration() {
+  OnIoThread([&] { PublishConfiguration(++m_version); });
+  Sleep(kConfigurationTime);
+  for (const auto& [name, instance] : m_instances) {
+    const std::int32_t status =
+        Ask(absl::StrCat(instance.ip, ":", kCallerPort), kHost,
+            absl::StrCat("/version/", m_version, "/"));
+    if (status == kNotFound || status == 0) {
+      OnIoThread([&] {
+        m_ledger.OnViolation(absl::StrCat("version ", m_version,
+                                          " isn't in force at ", name,
+                                          ", status ", status));
+      });
+    }
+  }
+}
+
+void SoakRun::Stop(const std::string& name) {
+  ChildProcess& process = *m_instances.at(name).process;
+  process.Terminate();
+  const bool ended = process.WaitForEnd(kGrace);
+  if (!ended || process.ExitCode() != 0) {
+    OnIoThread([&] {
+      m_ledger.OnViolation(
+          absl::StrCat("instance ", name, " didn't end in order"));
+    });
+  }
+}
+
+void SoakRun::CheckProcesses() {
+  for (auto& [name, instance] : m_instances) {
+    if (!instance.process->IsRunning()) {
+      OnIoThread([&, failed = name] {
+        m_ledger.OnViolation("instance " + failed + " ended by itself");
+      });
+      StartInstance(name);
+      WaitUntilReady(name);
+    }
+  }
+}
+
+SoakReport SoakRun::Play() {
+  const MonotonicTime begin = emulator::ReadMonotonicClock();
+  Sleep(Seconds(2));
+  for (int round = 0; round < m_settings.rounds; ++round) {
+    const auto fault = static_cast<SoakFault>(
+        m_random.NextBelow(EnumNames(SoakFault{}).size()));
+    NoteDisturbance([&] { PlayFault(fault); });
+    CheckProcesses();
+    Sleep(SoakLedger::kContactTime);
+    PlayWork(static_cast<SoakWork>(
+        m_random.NextBelow(EnumNames(SoakWork{}).size())));
+    CheckProcesses();
+  }
+  Sleep(SoakLedger::kContactTime);
+  const MonotonicTime calm = emulator::ReadMonotonicClock();
+  Sleep(Seconds(3));
+  OnIoThread([this] { m_callers->Stop(); });
+  Sleep(kCallerTime);
+  SoakReport report;
+  OnIoThread([&] {
+    report.store_calls = m_store->Calls();
+    if (m_callers->Pending() > 0) {
+      m_ledger.OnViolation(
+          absl::StrCat(m_callers->Pending(), " requests never ended"));
+    }
+  });
+  for (const auto& [name, instance] : m_instances) {
+    Stop(name);
+  }
+  OnIoThread([&] {
+    report.violations = m_ledger.FindViolations();
+    report.all = m_ledger.ShareSince(begin);
+    report.calm = m_ledger.ShareSince(calm);
+  });
+  return report;
+}
+
+}  // namespace kumquatcove::stand_in
--- /dev/null
+++ b/src/platform/stand_in/upstream_stand_in.cc
@@ -0,0 +1,168 @@
+#include "platform/stand_in/upstream_stand_in.h"
+
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "emulator/steady_clock.h"
+#include "runtime/http_fields.h"
+
+namespace kumquatcove::stand_in {
+namespace {
+
+constexpr std::size_t kQueueLength = 9;
+constexpr std::int32_t kOk = 200;
+constexpr std::int32_t kMisdirected = 421;
+constexpr std::int32_t kUnavailable = 503;
+
+std::string ToText(const boost::asio::ip::tcp::endpoint& endpoint) {
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+}  // namespace
+
+std::string UpstreamAnswerBody(const std::string& attempt,
+                               const std::string& target) {
+  return absl::StrCat(attempt, " ", target);
+}
+
+UpstreamStandIn::UpstreamStandIn(boost::asio::io_context& io,
+                                 UserStoreStandIn& store,
+                                 SoakLedger& ledger,
+                                 UpstreamStandInSettings settings,
+                                 std::uint64_t seed)
+    : m_io(io),
+      m_store(store),
+      m_ledger(ledger),
+      m_settings(std::move(settings)),
+      m_random(seed),
+      m_started_ms(emulator::ReadWallClock().microseconds / 1000),
+      m_server(io, m_settings.endpoint, [this](const Session& session) {
+        Handle(session);
+      }) {
+  m_server.Open();
+  m_settings.endpoint.port(m_server.Port());
+  Register(false);
+}
+
+void UpstreamStandIn::Register(bool draining) {
+  namespace json = boost::json;
+  const json::object row{
+      {"address", ToText(m_settings.endpoint)},
+      {"born", m_started_ms},
+      {"info", json::object{{"service", m_settings.service},
+                            {"version", "1"},
+                            {"zone", m_settings.zone},
+                            {"slots", m_settings.slots}}},
+      {"status", json::object{{"state", draining ? "draining" : "ready"},
+                              {"seq", ++m_sequence},
+                              {"cold-left-s", 0}}}};
+  m_store.Put("servers", m_settings.id, json::serialize(row));
+}
+
+void UpstreamStandIn::Drain() {
+  Register(true);
+  m_left = emulator::ReadMonotonicClock();
+}
+
+void UpstreamStandIn::Deregister() {
+  m_store.Remove("servers", m_settings.id);
+}
+
+void UpstreamStandIn::Crash() {
+  ++m_incarnation;
+  m_running.clear();
+  m_waiting.clear();
+  m_server.StopListening();
+  m_server.ResetConnections();
+}
+
+void UpstreamStandIn::Restart(const std::string& id) {
+  m_store.Remove("servers", m_settings.id);
+  m_settings.id = id;
+  m_started_ms = emulator::ReadWallClock().microseconds / 1000;
+  m_sequence = 0;
+  m_server.Open();
+  Register(false);
+}
+
+void UpstreamStandIn::Handle(const Session& session) {
+  if (PathOfTarget(std::string(session->GetRequest().target())) == "/health") {
+    session->Respond(MakeAnswer(kOk, ""));
+    return;
+  }
+  if (session->Header("Expect-Instance") != m_settings.id) {
+    session->Respond(MakeAnswer(kMisdirected, ""));
+    return;
+  }
+  if (m_left) {
+    m_ledger.OnArrivalAfterLeaving(m_settings.id, *m_left,
+                                   emulator::ReadMonotonicClock());
+  }
+  if (m_running.size() < m_settings.slots) {
+    Run(session);
+  } else if (m_waiting.size() < kQueueLength) {
+    m_waiting.push_back(session);
+    session->OnPeerClosed([this, session] { std::erase(m_waiting, session); });
+  } else {
+    HttpAnswer answer = MakeAnswer(kUnavailable, "full");
+    answer.headers.push_back({"Not-Executed", "1"});
+    session->Respond(answer);
+  }
+}
+
+void UpstreamStandIn::Run(const Session& session) {
+  m_ledger.OnRun(session->Header("Attempt-Id"));
+  m_running.insert(session);
+  session->OnPeerClosed([this, session] {
+    m_running.erase(session);
+    StartWaiting();
+  });
+  const double factor = 0.5 + m_random.NextFraction();
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      m_io, std::chrono::microseconds(std::llround(
+                static_cast<double>(m_settings.mean_work.count()) * factor)));
+  timer->async_wait([this, timer, session, incarnation = m_incarnation](
+                        boost::system::error_code error) {
+    if (!error && incarnation == m_incarnation && m_running.contains(session)) {
+      Finish(session);
+    }
+  });
+}
+
+void UpstreamStandIn::Finish(const Session& session) {
+  m_running.erase(session);
+  const std::string attempt = session->Header("Attempt-Id");
+  HttpAnswer answer = MakeAnswer(
+      kOk,
+      UpstreamAnswerBody(attempt, std::string(session->GetRequest().target())));
+  answer.headers.push_back({"Attempt-Id", attempt});
+  answer.headers.push_back({"Server-Seal", "sealed"});
+  session->Respond(answer);
+  StartWaiting();
+}
+
+void UpstreamStandIn::StartWaiting() {
+  if (!m_waiting.empty() && m_running.size() < m_settings.slots) {
+    const Session next = m_waiting.front();
+    m_waiting.pop_front();
+    Run(next);
+  }
+}
+
+HttpAnswer UpstreamStandIn::MakeAnswer(std::int32_t status,
+                                       std::string body) const {
+  HttpAnswer answer{status, {}, std::move(body)};
+  answer.headers.push_back({"Instance-Id", m_settings.id});
+  answer.headers.push_back(
+      {"Server-Load", absl::StrCat(m_running.size(), ",", m_waiting.size(), ",",
+                                   m_settings.slots)});
+  return answer;
+}
+
+}  // namespace kumquatcove::stand_in
