Find silent watches of the store and start them anew

Cause: the store can go silent on open connections while it answers on new ones.

Change: instances tell each other the newest row that they have seen, inside a region with the digests of load, and to all when a configuration comes into force. A watch that lags for 0.5 s is started anew on a fresh connection, and idle connections are closed with it. The first instance of a region watches with a patience of 1.5 s, so that one at least finds out by itself.

A version that the last reply covers isn't one to wait for, and a watch that began after a pause gets the whole limit: both made live watches look silent (tests fail without either).

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -59,10 +59,17 @@
   void operator()(const PeerMessageArrived& event) const {
     if (const auto* gossip = std::get_if<Gossip>(&event.message)) {
       reducer.m_presence.OnHeartbeat(reducer.m_context, *gossip);
+      for (const MemberRecord& record : gossip->records) {
+        reducer.m_registry.OnPeerConfiguration(record.catalogue_revision,
+                                               reducer.m_context.Now());
+      }
     } else if (const auto* suspicion = std::get_if<Suspicion>(&event.message)) {
       reducer.m_dispatcher.OnSuspicion(reducer.m_context, *suspicion);
     } else if (const auto* digest = std::get_if<LoadDigest>(&event.message)) {
       reducer.m_dispatcher.OnLoadDigest(reducer.m_context, event.from, *digest);
+      reducer.m_registry.OnPeerSeen(
+          {digest->operator_version, digest->upstreams_version},
+          reducer.m_context.Now());
     }
   }
   void operator()(const StoreReplyArrived& event) const {
@@ -91,6 +98,8 @@
 
   void operator()(const RoutesChanged& change) const {
     reducer.m_dispatcher.SetRoutes(change.routes);
+    reducer.m_presence.SetConfiguration(reducer.m_context,
+                                        change.routes->Version());
     reducer.ApplyCallerLimits();
   }
   void operator()(const UpstreamRegistered& change) const {
@@ -142,6 +151,7 @@
 }
 
 void DispatchReducer::HandleTick() {
+  m_registry.SetSentinel(m_presence.IsFirstOfRegion(m_context));
   m_registry.OnTick(m_context);
   m_presence.OnTick(m_context);
   ApplyChanges();
@@ -277,7 +287,10 @@
   if (!m_dispatcher.IsDigestDue(receivers.size(), m_context.Now())) {
     return;
   }
-  const LoadDigest digest = m_dispatcher.MakeDigest(m_context.Now());
+  LoadDigest digest = m_dispatcher.MakeDigest(m_context.Now());
+  const SeenVersions seen = m_registry.Seen();
+  digest.operator_version = seen.operators;
+  digest.upstreams_version = seen.upstreams;
   for (const InstanceAddress& receiver : receivers) {
     m_context.SendTo(receiver.instance, receiver.peer_address, digest);
   }
--- a/src/protocol/context.cc
+++ b/src/protocol/context.cc
@@ -42,10 +42,11 @@
 
 StoreRequestId Context::CallStoreFor(StoreClientModule module,
                                      StoreOperation operation,
-                                     Duration timeout) {
+                                     Duration timeout,
+                                     bool fresh_connection) {
   const StoreRequestId id{++m_store_count};
   m_store_calls.emplace(id, module);
-  Emit(CallStore{id, std::move(operation), timeout});
+  Emit(CallStore{id, std::move(operation), timeout, fresh_connection});
   return id;
 }
 
--- a/src/protocol/context.h
+++ b/src/protocol/context.h
@@ -88,10 +88,11 @@
               PeerMessage message);
 
   /** Sends an operation to the store and returns its id; the reply goes to
-   * `module`. */
+   * `module`. For `fresh_connection` see CallStore. */
   StoreRequestId CallStoreFor(StoreClientModule module,
                               StoreOperation operation,
-                              Duration timeout);
+                              Duration timeout,
+                              bool fresh_connection = false);
 
   /** Returns the module that waits for the reply and forgets it; false if the
    * reply is unexpected (late or repeated). */
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -43,9 +43,12 @@
   StoreRequestId id;
   StoreOperation operation;
   Duration timeout{0};
+  /** Earlier connections may have gone silent: a new one is used, and idle ones
+   * are closed. */
+  bool fresh_connection = false;
   friend bool operator==(const CallStore&, const CallStore&) = default;
 };
-BOOST_DESCRIBE_STRUCT(CallStore, (), (id, operation, timeout))
+BOOST_DESCRIBE_STRUCT(CallStore, (), (id, operation, timeout, fresh_connection))
 
 /** Reads the platform's list of instances; answered by InstanceListArrived, or
  * not at all. */
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -357,9 +357,15 @@
   std::vector<UpstreamLoad> upstreams;
   /** In the order of their answers. */
   std::vector<HandledObject> handled;
+  /** Versions of the newest rows that the sender has seen in the operator's
+   * table of the store and in that of upstreams. */
+  std::int64_t operator_version = 0;
+  std::int64_t upstreams_version = 0;
   friend bool operator==(const LoadDigest&, const LoadDigest&) = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadDigest, (), (upstreams, handled))
+BOOST_DESCRIBE_STRUCT(LoadDigest,
+                      (),
+                      (upstreams, handled, operator_version, upstreams_version))
 
 using PeerMessage = std::variant<Gossip,
                                  SlotRequest,
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -29,9 +29,17 @@
     return;
   }
   m_phase = phase;
+  if (phase == InstancePhase::kServing) {
+    m_serving_since = context.Now();
+  }
   context.Record("phase_changed", context.Self().instance.Text(),
                  {{"phase", std::string(ToString(phase))}});
-  SendHeartbeats(context);
+  SendHeartbeats(context, /*to_all=*/false);
+}
+
+void EntryPresence::SetConfiguration(Context& context, std::int64_t version) {
+  m_configuration = version;
+  SendHeartbeats(context, /*to_all=*/true);
 }
 
 void EntryPresence::OnRegistered(Context& context,
@@ -95,7 +103,7 @@
     Register(context);
   }
   if (context.Now() >= m_next_heartbeat) {
-    SendHeartbeats(context);
+    SendHeartbeats(context, m_counter % kRemoteHeartbeatRatio == 0);
   }
 }
 
@@ -112,10 +120,9 @@
                                 kRegistrationTimeout);
 }
 
-void EntryPresence::SendHeartbeats(Context& context) {
+void EntryPresence::SendHeartbeats(Context& context, bool to_all) {
   m_next_heartbeat = context.Now() + kHeartbeatInterval;
   const Gossip heartbeat = MakeHeartbeat(context);
-  const bool to_all = m_counter % kRemoteHeartbeatRatio == 0;
   for (const auto& [instance, entry] : m_entries) {
     if (to_all || entry.registration.region == context.Self().region) {
       context.SendTo(instance, entry.registration.peer_address, heartbeat);
@@ -128,7 +135,7 @@
   Gossip gossip;
   gossip.records.push_back({self.instance, self.incarnation, ++m_counter,
                             self.region, self.zone, self.caller_address,
-                            self.peer_address, m_phase, 0});
+                            self.peer_address, m_phase, m_configuration});
   return gossip;
 }
 
@@ -153,6 +160,20 @@
   return receivers;
 }
 
+bool EntryPresence::IsFirstOfRegion(const Context& context) const {
+  if (m_phase != InstancePhase::kServing || !m_serving_since ||
+      context.Now() < *m_serving_since + kAcquaintanceTime) {
+    return false;
+  }
+  return std::none_of(
+      m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        const auto& [instance, entry] = item;
+        return instance < context.Self().instance &&
+               entry.registration.region == context.Self().region &&
+               IsUsable(context, entry);
+      });
+}
+
 void EntryPresence::Broadcast(Context& context,
                               const PeerMessage& message) const {
   for (const auto& [instance, entry] : m_entries) {
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -33,6 +33,8 @@
  public:
   /** Time between two heartbeats. */
   static constexpr Duration kHeartbeatInterval = Seconds(1);
+  /** Instances that start together know each other after this time. */
+  static constexpr Duration kAcquaintanceTime = Seconds(3);
   /** Of so many heartbeats, one goes to the other regions too: bytes between
    * regions are dear, and only what is asked of all instances together depends
    * on knowing those. */
@@ -50,6 +52,10 @@
   void SetPhase(Context& context, InstancePhase phase);
   InstancePhase Phase() const { return m_phase; }
 
+  /** Tells all instances at once which configuration is in force here, so that
+   * one whose store connection has gone silent finds out. */
+  void SetConfiguration(Context& context, std::int64_t version);
+
   void OnRegistered(Context& context, const EntryRegistration& entry);
   void OnGone(const InstanceId& instance);
   void OnHeartbeat(Context& context, const Gossip& gossip);
@@ -62,6 +68,10 @@
    * that are alive, or kMaxLoadReceivers of them. */
   std::vector<InstanceAddress> FindLoadReceivers(const Context& context) const;
 
+  /** Returns whether this instance has the first name among those of its region
+   * that serve; false while it may not know the others. */
+  bool IsFirstOfRegion(const Context& context) const;
+
   /** Sends a message to all instances that are known. */
   void Broadcast(Context& context, const PeerMessage& message) const;
 
@@ -89,7 +99,8 @@
     std::optional<MonotonicTime> heard;
   };
 
-  void SendHeartbeats(Context& context);
+  /** Sends heartbeats to the instances of the region, or to all. */
+  void SendHeartbeats(Context& context, bool to_all);
   Gossip MakeHeartbeat(const Context& context);
   void Register(Context& context);
   bool IsUsable(const Context& context, const Entry& entry) const;
@@ -98,6 +109,8 @@
   InstancePhase m_phase = InstancePhase::kJoining;
   std::map<InstanceId, Entry> m_entries;
   std::int64_t m_counter = 0;
+  std::int64_t m_configuration = 0;
+  std::optional<MonotonicTime> m_serving_since;
   MonotonicTime m_next_heartbeat;
   MonotonicTime m_next_registration;
   bool m_registered = false;
--- a/src/registry/entry_presence_test.cc
+++ b/src/registry/entry_presence_test.cc
@@ -140,6 +140,39 @@
   CHECK(sent[InstanceId("far")] == 2);
 }
 
+TEST_CASE("A new configuration is told to all instances at once") {
+  PresenceBench bench;
+  bench.Hear("near", "lima-b");
+  bench.Hear("far", "arequipa-a", InstancePhase::kServing, "arequipa");
+  bench.context.TakeEffects();
+  bench.presence.SetConfiguration(bench.context, 7);
+  std::map<InstanceId, std::int64_t> told;
+  for (const Effect& effect : bench.context.TakeEffects()) {
+    const auto* message = std::get_if<SendPeer>(&effect);
+    if (message != nullptr) {
+      told[message->to] =
+          std::get<Gossip>(message->message).records.at(0).catalogue_revision;
+    }
+  }
+  CHECK(told == std::map<InstanceId, std::int64_t>{{InstanceId("far"), 7},
+                                                   {InstanceId("near"), 7}});
+}
+
+TEST_CASE("The first of a region's instances is one that serves") {
+  PresenceBench bench;
+  // Others may not be known yet.
+  CHECK_FALSE(bench.presence.IsFirstOfRegion(bench.context));
+  bench.Pass(EntryPresence::kAcquaintanceTime);
+  CHECK(bench.presence.IsFirstOfRegion(bench.context));
+  bench.Hear("zulu", "lima-b");
+  bench.Hear("alpha", "arequipa-a", InstancePhase::kServing, "arequipa");
+  CHECK(bench.presence.IsFirstOfRegion(bench.context));
+  bench.Hear("alfa", "lima-b");
+  CHECK_FALSE(bench.presence.IsFirstOfRegion(bench.context));
+  bench.Pass(EntryPresence::kSilenceLimit);
+  CHECK(bench.presence.IsFirstOfRegion(bench.context));
+}
+
 TEST_CASE(
     "An instance makes itself known to those that it finds in the table") {
   PresenceBench bench;
--- a/src/registry/fake_table.h
+++ b/src/registry/fake_table.h
@@ -27,12 +27,16 @@
   /** Forgets the changes until now. */
   void Compact() { m_history.clear(), m_compacted = m_version; }
 
+  /** Loses the calls that wait for a reply, as a silent connection does. */
+  void DropCalls() { m_calls.clear(); }
+
   /** Takes the calls among the effects. */
   void Take(const std::vector<Effect>& effects) {
     for (const Effect& effect : effects) {
       if (const auto* call = std::get_if<CallStore>(&effect)) {
         m_calls.push_back(*call);
         ++calls;
+        fresh_connections += call->fresh_connection ? 1 : 0;
       }
     }
   }
@@ -54,6 +58,8 @@
 
   /** Number of calls so far. */
   std::size_t calls = 0;
+  /** Number of calls that wanted a fresh connection. */
+  std::size_t fresh_connections = 0;
   /** Rows that one scan returns at most. */
   std::size_t page = 100;
 
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -102,6 +102,11 @@
                                                      kUpstreamPauseShare));
 }
 
+void RegistrySync::SetSentinel(bool sentinel) {
+  m_tables.at(RegistryTable::kOperator).SetSentinel(sentinel);
+  m_tables.at(RegistryTable::kUpstreams).SetSentinel(sentinel);
+}
+
 void RegistrySync::Restart(Context& context) {
   m_tables.at(RegistryTable::kOperator).Restart(context);
   m_tables.at(RegistryTable::kUpstreams).Restart(context);
@@ -203,6 +208,23 @@
   }
 }
 
+SeenVersions RegistrySync::Seen() const {
+  return {m_tables.at(RegistryTable::kOperator).NewestRow(),
+          m_tables.at(RegistryTable::kUpstreams).NewestRow()};
+}
+
+void RegistrySync::OnPeerSeen(const SeenVersions& versions, MonotonicTime now) {
+  m_tables.at(RegistryTable::kOperator).OnVersionSeen(versions.operators, now);
+  m_tables.at(RegistryTable::kUpstreams).OnVersionSeen(versions.upstreams, now);
+}
+
+void RegistrySync::OnPeerConfiguration(std::int64_t version,
+                                       MonotonicTime now) {
+  if (version > m_routes->Version()) {
+    m_tables.at(RegistryTable::kOperator).OnBehind(now);
+  }
+}
+
 void RegistrySync::OnTick(Context& context) {
   for (auto& [table, follower] : m_tables) {
     follower.OnTick(context);
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -46,6 +46,12 @@
                                     EntryRegistered,
                                     EntryGone>;
 
+/** Versions of the newest rows of the tables that are watched. */
+struct SeenVersions {
+  std::int64_t operators = 0;
+  std::int64_t upstreams = 0;
+};
+
 /**
  * Follows the tables that describe the deployment and gives the changes.
  *
@@ -72,6 +78,10 @@
 
   void SetDrainLimit(Duration drain_limit);
 
+  /** Lets this instance look after silent connections to the store, for itself
+   * and for those that learn from it; one of a region is enough. */
+  void SetSentinel(bool sentinel);
+
   /** Reads the operator's table and that of upstreams, at the start or after
    * this process stood still, and goes on to watch them. */
   void Restart(Context& context);
@@ -82,6 +92,14 @@
   void OnReply(Context& context, StoreRequestId id, const StoreReply& reply);
   void OnTick(Context& context);
 
+  /** Returns the versions of the newest rows that have been seen. */
+  SeenVersions Seen() const;
+  /** Notes what another instance has seen. */
+  void OnPeerSeen(const SeenVersions& versions, MonotonicTime now);
+  /** Notes the version of the configuration that is in force at another
+   * instance. */
+  void OnPeerConfiguration(std::int64_t version, MonotonicTime now);
+
   /** Returns the changes since the last call, in order. */
   std::vector<RegistryChange> TakeChanges();
 
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -239,6 +239,110 @@
       std::get<UpstreamRegistered>(bench.changes.back()).registration.draining);
 }
 
+// Guards against a configuration that isn't in force for 25 s: the store had
+// gone silent on open connections and answered on new ones (soak, seed 1).
+TEST_CASE("A watch that another instance shows to be silent is started anew") {
+  SyncBench bench;
+  bench.table.Put("operator/config", "1 a.example / vitrina i");
+  bench.sync.Restart(bench.context);
+  bench.Settle();
+  bench.table.DropCalls();
+  bench.table.Put("operator/config", "2 a.example / vitrina i");
+  bench.Run(Seconds(3));
+  CHECK(bench.sync.Routes()->Version() == 1);
+  SeenVersions seen = bench.sync.Seen();
+  ++seen.operators;
+  bench.sync.OnPeerSeen(seen, bench.context.Now());
+  bench.Run(Seconds(1));
+  CHECK(bench.sync.Routes()->Version() == 2);
+  CHECK(bench.sync.Seen().operators == seen.operators);
+  // Other connections of the same age may be silent too.
+  CHECK(bench.table.fresh_connections == 1);
+}
+
+TEST_CASE("A sentinel finds a silent watch by itself") {
+  SyncBench bench;
+  bench.table.Put("operator/config", "1 a.example / vitrina i");
+  bench.sync.SetSentinel(true);
+  bench.sync.Restart(bench.context);
+  bench.Settle();
+  bench.table.DropCalls();
+  bench.table.Put("operator/config", "2 a.example / vitrina i");
+  bench.Run(Seconds(3));
+  CHECK(bench.sync.Routes()->Version() == 2);
+}
+
+TEST_CASE("A newer configuration at an instance of another region shows it") {
+  SyncBench bench;
+  bench.table.Put("operator/config", "1 a.example / vitrina i");
+  bench.sync.Restart(bench.context);
+  bench.Settle();
+  bench.table.DropCalls();
+  bench.table.Put("operator/config", "2 a.example / vitrina i");
+  bench.sync.OnPeerConfiguration(2, bench.context.Now());
+  bench.Run(Seconds(1));
+  CHECK(bench.sync.Routes()->Version() == 2);
+}
+
+TEST_CASE("A watch that brings what others have seen isn't started anew") {
+  SyncBench bench;
+  bench.table.Put("operator/config", "1 a.example / vitrina i");
+  bench.sync.Restart(bench.context);
+  bench.Settle();
+  const std::size_t before = bench.table.calls;
+  SeenVersions seen = bench.sync.Seen();
+  ++seen.operators;
+  bench.sync.OnPeerSeen(seen, bench.context.Now());
+  bench.table.Put("operator/config", "2 a.example / vitrina i");
+  bench.Run(Seconds(3));
+  // One call for the change and no other.
+  CHECK(bench.table.calls == before + 1);
+  // A version that never comes costs a call now and then.
+  seen.operators += 100;
+  for (int i = 0; i < 100; ++i) {
+    bench.sync.OnPeerSeen(seen, bench.context.Now());
+    bench.Run(Milliseconds(100));
+  }
+  CHECK(bench.table.calls <= before + 4);
+}
+
+// Guards against a watch that is taken to be silent while it pauses between two
+// calls, or because a row that others have seen was removed.
+TEST_CASE("Pauses and removed rows don't make a watch look silent") {
+  SyncBench bench;
+  bench.sync.SetDrainLimit(Seconds(2));
+  bench.sync.Restart(bench.context);
+  bench.Settle();
+  bench.PutUpstream(Upstream("u-1"));
+  bench.Settle();
+  // Others see the next change while the pause after the first one lasts; the
+  // reply to the call after it takes some ticks.
+  SeenVersions seen = bench.sync.Seen();
+  ++seen.upstreams;
+  bench.sync.OnPeerSeen(seen, bench.context.Now());
+  bench.PutUpstream(Upstream("u-2"));
+  for (Duration passed{0}; passed < Seconds(1); passed += kTickInterval) {
+    bench.Pass(kTickInterval);
+    bench.sync.OnTick(bench.context);
+    bench.table.Take(bench.context.TakeEffects());
+  }
+  bench.Settle();
+  CHECK(bench.sync.Seen().upstreams == seen.upstreams);
+  CHECK(bench.table.fresh_connections == 0);
+
+  // Another instance has seen the removal; this one read the table after it.
+  SyncBench later;
+  later.PutUpstream(Upstream("u-1"));
+  later.PutUpstream(Upstream("u-2"));
+  later.table.Remove("upstreams/u-2");
+  later.sync.Restart(later.context);
+  later.Settle();
+  constexpr std::int64_t kRemoval = 3;
+  later.sync.OnPeerSeen({0, kRemoval}, later.context.Now());
+  later.Run(Seconds(10));
+  CHECK(later.table.fresh_connections == 0);
+}
+
 TEST_CASE("Evacuations begin and end") {
   SyncBench bench;
   bench.sync.Restart(bench.context);
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -9,9 +9,22 @@
 // Calls are priced, so that a watch lasts long; a silent connection is found by
 // keep-alive probes long before.
 constexpr Duration kWatchPatience = Seconds(25);
+// A sentinel's watches end after this time, so that it finds a silent
+// connection within the time after an outage for which the platform's bounds
+// don't hold.
+constexpr Duration kSentinelPatience = Milliseconds(1'500);
+constexpr Duration kSentinelMargin = Milliseconds(700);
 // Longest time that a reply may take after the patience of a watch, or after a
 // read was sent, while the store is slow.
 constexpr Duration kReplyMargin = Seconds(2);
+// A watch brings a change within the way to the store and back. If another
+// instance has had it for this long, the connection has gone silent: the server
+// may leave one open and answer nothing on it, which no probe of the kernel
+// shows.
+constexpr Duration kSilenceLimit = Milliseconds(500);
+// Rows may get new versions that a watch doesn't tell, so that a watch isn't
+// renewed more often than this.
+constexpr Duration kMinRenewal = Seconds(5);
 constexpr Duration kFirstRetryDelay = Milliseconds(100);
 constexpr Duration kMaxRetryDelay = Milliseconds(800);
 // Retries double up to the maximum after this many.
@@ -59,8 +72,10 @@
     m_scan_version = reply.version;
   }
   for (const StoreRow& row : reply.rows) {
+    m_newest_row = std::max(m_newest_row, row.version);
     m_scan[row.key] = row;
   }
+  m_behind.reset();
   if (reply.more && !reply.rows.empty()) {
     m_scan_after = reply.rows.back().key;
     Call(context);
@@ -90,8 +105,10 @@
 
 void TableFollower::OnWatched(Context& context, const StoreReply& reply) {
   for (const StoreRow& row : reply.rows) {
+    m_newest_row = std::max(m_newest_row, row.version);
     Apply(row);
   }
+  m_behind.reset();
   m_version = std::max(m_version, reply.version);
   if (reply.rows.empty()) {
     Call(context);
@@ -100,6 +117,43 @@
   }
 }
 
+void TableFollower::OnVersionSeen(std::int64_t version, MonotonicTime now) {
+  // A watch or scan that has covered the version has brought its row, unless it
+  // was a deletion or has been replaced since.
+  if (version > std::max(m_newest_row, m_version)) {
+    OnBehind(now);
+  }
+}
+
+void TableFollower::OnBehind(MonotonicTime now) {
+  if (!m_behind) {
+    m_behind = now;
+  }
+}
+
+void TableFollower::RenewIfSilent(Context& context) {
+  const MonotonicTime now = context.Now();
+  if (!m_call || m_scanning) {
+    return;
+  }
+  const bool overdue =
+      m_sentinel && now - m_watch_began >= kSentinelPatience + kSentinelMargin;
+  // A watch that began after a pause gets the whole limit.
+  const bool behind =
+      m_behind && now - std::max(*m_behind, m_watch_began) >= kSilenceLimit &&
+      (!m_renewed || now - *m_renewed >= kMinRenewal);
+  if (!overdue && !behind) {
+    return;
+  }
+  context.Record("watch_silent", m_prefix,
+                 {{"version", std::to_string(m_version)},
+                  {"cause", behind ? "another instance is ahead" : "overdue"}});
+  m_renewed = now;
+  m_behind.reset();
+  m_call.reset();
+  Call(context, /*fresh_connection=*/true);
+}
+
 void TableFollower::Apply(const StoreRow& row) {
   const auto found = m_rows.find(row.key);
   const bool known = found != m_rows.end();
@@ -140,21 +194,24 @@
 }
 
 void TableFollower::OnTick(Context& context) {
+  RenewIfSilent(context);
   const bool wanted = m_started && (m_pause || m_scanning);
   if (wanted && !m_call && context.Now() >= m_due) {
     Call(context);
   }
 }
 
-void TableFollower::Call(Context& context) {
+void TableFollower::Call(Context& context, bool fresh_connection) {
   const StoreClientModule module = StoreClientModule::kRegistry;
   if (m_scanning) {
     m_call = context.CallStoreFor(module, StoreScan{m_prefix, m_scan_after},
                                   kReplyMargin);
   } else {
-    m_call = context.CallStoreFor(
-        module, StoreWatch{m_prefix, m_version, kWatchPatience},
-        kWatchPatience + kReplyMargin);
+    const Duration patience = m_sentinel ? kSentinelPatience : kWatchPatience;
+    m_watch_began = context.Now();
+    m_call =
+        context.CallStoreFor(module, StoreWatch{m_prefix, m_version, patience},
+                             patience + kReplyMargin, fresh_connection);
   }
 }
 
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -26,6 +26,10 @@
   TableFollower(std::string prefix, std::optional<Duration> pause)
       : m_prefix(std::move(prefix)), m_pause(pause) {}
 
+  /** Makes this instance find out by itself whether its watch has gone silent,
+   * by watches that last a short time, or leave that to another one. */
+  void SetSentinel(bool sentinel) { m_sentinel = sentinel; }
+
   /** Changes the pause. Precondition: the table is watched. */
   void SetPause(Duration pause) { m_pause = pause; }
 
@@ -43,6 +47,17 @@
    * those that are gone. */
   std::vector<StoreRow> TakeChanges();
 
+  /** Notes that another instance has seen a row of this version. A watch that
+   * doesn't bring it soon is taken to have gone silent and is started anew. */
+  void OnVersionSeen(std::int64_t version, MonotonicTime now);
+
+  /** Notes that another instance has seen a newer row of unknown version, with
+   * the same effect. */
+  void OnBehind(MonotonicTime now);
+
+  /** Returns the version of the newest row that has been seen; 0 if none. */
+  std::int64_t NewestRow() const { return m_newest_row; }
+
   /** Returns whether all rows have been read once. */
   bool IsLoaded() const { return m_loaded; }
 
@@ -56,11 +71,13 @@
   const std::map<std::string, StoreRow>& Rows() const { return m_rows; }
 
  private:
-  void Call(Context& context);
+  void Call(Context& context, bool fresh_connection = false);
   void OnScanned(Context& context, const StoreReply& reply);
   void OnWatched(Context& context, const StoreReply& reply);
   void OnFailed(Context& context, StoreStatus status);
   void Apply(const StoreRow& row);
+  /** Starts a silent watch anew. */
+  void RenewIfSilent(Context& context);
 
   std::string m_prefix;
   std::optional<Duration> m_pause;
@@ -75,6 +92,14 @@
   bool m_scanning = true;
   bool m_loaded = false;
   std::int64_t m_version = 0;
+  std::int64_t m_newest_row = 0;
+  bool m_sentinel = false;
+  /** When the watch in progress began, if there is one. */
+  MonotonicTime m_watch_began;
+  /** Since when another instance is known to have seen a newer row. */
+  std::optional<MonotonicTime> m_behind;
+  /** When a silent watch was last started anew. */
+  std::optional<MonotonicTime> m_renewed;
   std::optional<StoreRequestId> m_call;
   /** When to call next, if no call runs. */
   MonotonicTime m_due;
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -197,6 +197,7 @@
     set("peer_bytes_sent", peers.encoded_bytes);
     set("event_backlog", m_actor->Backlog());
     set("upstream_connections", m_upstreams.Connections());
+    set("caller_connections_accepted", m_caller_server.AcceptedConnections());
     m_io.PostAfter(kMetricsInterval, [this] { UpdateMetrics(); });
   }
 
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -78,6 +78,7 @@
   RequestServerLimits limits;
   HttpHandler* handler = nullptr;
   std::size_t connections = 0;
+  std::size_t accepted = 0;
   /** Connections end with their next answer. */
   bool closing = false;
   /** No request is read any more. */
@@ -378,6 +379,8 @@
     m_state->waiting.clear();
   }
 
+  std::size_t AcceptedConnections() const { return m_state->accepted; }
+
   std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
 
  private:
@@ -402,6 +405,7 @@
       Accept();
       return;
     }
+    ++m_state->accepted;
     const auto session = std::make_shared<Session>(std::move(socket), m_state);
     if (full) {
       session->Refuse();
@@ -447,6 +451,10 @@
   m_implementation->CloseAfterAnswers();
 }
 
+std::size_t RequestServer::AcceptedConnections() const {
+  return m_implementation->AcceptedConnections();
+}
+
 std::uint16_t RequestServer::Port() const {
   return m_implementation->Port();
 }
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -58,6 +58,9 @@
    * answered. */
   void StopReading();
 
+  /** Returns how many connections have been accepted so far. */
+  std::size_t AcceptedConnections() const;
+
   /** Returns the port that was bound. */
   std::uint16_t Port() const;
 
--- a/src/runtime/store_client.cc
+++ b/src/runtime/store_client.cc
@@ -72,6 +72,9 @@
     m_events.Post(StoreReplyArrived{effect.id, std::move(reply)});
     return;
   }
+  if (effect.fresh_connection) {
+    m_idle.clear();
+  }
   auto call = std::make_unique<PlatformCall>();
   call->request = m_dialect.write_operation(effect.operation);
   call->timeout = effect.timeout;
--- a/src/runtime/store_client_test.cc
+++ b/src/runtime/store_client_test.cc
@@ -77,6 +77,24 @@
   CHECK(fixture.platform.handler.gone.WaitForCount(1));
 }
 
+// Guards against calls on idle connections that have gone silent together with
+// the one in use.
+TEST_CASE("A call that wants a fresh connection closes the idle ones") {
+  StoreFixture fixture([](const HttpRequest&) {
+    return std::optional(HttpAnswer{200, {}, "x"});
+  });
+  fixture.Get(1, Seconds(5));
+  CHECK(fixture.StatusOf(0) == StoreStatus::kOk);
+  fixture.Get(2, Seconds(5));
+  CHECK(fixture.StatusOf(1) == StoreStatus::kOk);
+  CHECK(fixture.platform.server.AcceptedConnections() == 1);
+  fixture.io.Post([&] {
+    fixture.client.Call({StoreRequestId{3}, ObjectGet{"k"}, Seconds(5), true});
+  });
+  CHECK(fixture.StatusOf(2) == StoreStatus::kOk);
+  CHECK(fixture.platform.server.AcceptedConnections() == 2);
+}
+
 TEST_CASE("Without a platform each call is answered once, as unknown") {
   IoThread io;
   RecordingEvents events;
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -224,6 +224,8 @@
 struct LoadDigest {
   upstreams @0 :List(UpstreamLoad);
   handled @1 :List(HandledObject);
+  operatorVersion @2 :Int64;
+  upstreamsVersion @3 :Int64;
 }
 
 struct SuspicionAck {
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -602,7 +602,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3551,6 +3551,10 @@
   inline bool hasHandled() const;
   inline  ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>::Reader getHandled() const;
 
+  inline  ::int64_t getOperatorVersion() const;
+
+  inline  ::int64_t getUpstreamsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3593,6 +3597,12 @@
   inline void adoptHandled(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::HandledObject,  ::capnp::Kind::STRUCT>> disownHandled();
 
+  inline  ::int64_t getOperatorVersion();
+  inline void setOperatorVersion( ::int64_t value);
+
+  inline  ::int64_t getUpstreamsVersion();
+  inline void setUpstreamsVersion( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7919,6 +7929,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t LoadDigest::Reader::getOperatorVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LoadDigest::Builder::getOperatorVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadDigest::Builder::setOperatorVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LoadDigest::Reader::getUpstreamsVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LoadDigest::Builder::getUpstreamsVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadDigest::Builder::setUpstreamsVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SuspicionAck::Reader::getContentHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
