--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -292,8 +292,10 @@
   world.AddUpstream("home", "despacho", "arequipa-a");
   world.Start("5 a.example /order/ despacho n");
   // More than the upstream at home takes at once: the others wait for it.
+  constexpr int kRequests = 8;
   std::vector<RequestId> requests;
-  for (int i = 0; i < 8; ++i) {
+  requests.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
     requests.push_back(world.Request("/order/" + std::to_string(i)));
   }
   for (std::size_t i = 0; i < world.sends.size(); ++i) {
