--- a/src/platform/stand_in/caller_stand_in.cc
+++ b/src/platform/stand_in/caller_stand_in.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxAttempts = 2;
 constexpr std::uint64_t kObjects = 30;
 constexpr double kIdempotentShare = 0.6;
+// Share of requests that are sent on a kept connection if there is one.
+constexpr double kKeptShare = 0.7;
 
 constexpr std::int32_t kOk = 200;
 constexpr std::int32_t kTooManyRequests = 429;
@@ -106,9 +108,7 @@
 void CallerStandIn::OnLookedUp(const std::string& zone,
                                const std::optional<HttpResult>& result) {
   Directory& directory = m_directories[zone];
-  // The connection ends with the callback that runs now.
-  const std::shared_ptr<HttpConnection> ended = std::move(directory.lookup);
-  m_io.Post([ended] {});
+  Discard(std::move(directory.lookup));
   if (!result || result->answer.status != kOk) {
     m_io.PostAfter(kRetryPause, [this, zone] { LookUp(zone); });
     return;
@@ -135,9 +135,14 @@
   call.address = Pick(directory.addresses);
   ++call.attempts;
   call.attempt = absl::StrCat("attempt-", ++m_last_attempt);
-  m_ledger.OnSent(call.attempt, call.idempotent);
-  const std::shared_ptr<HttpConnection> ended = std::move(call.connection);
-  m_io.Post([ended] {});
+  m_ledger.OnSent(call.attempt, call.idempotent,
+                  emulator::ReadMonotonicClock());
+  Discard(std::move(call.connection));
+  call.connection = TakeIdle(call.address);
+  if (call.connection) {
+    OnOpened(number, true);
+    return;
+  }
   call.connection = std::make_unique<HttpConnection>(m_io);
   call.connection->Open(
       call.address, kConnectTimeout,
@@ -173,7 +178,11 @@
       !served ||
       (result->answer.body == UpstreamAnswerBody(call.attempt, call.target) &&
        FindHeader(result->answer.headers, "Server-Seal") == "sealed");
-  m_ledger.OnAnswer(call.attempt, status, whole);
+  m_ledger.OnAnswer(call.attempt, status, whole,
+                    emulator::ReadMonotonicClock());
+  if (call.connection->IsIdle()) {
+    m_idle[call.address].push_back(std::move(call.connection));
+  }
   if (call.attempts < kMaxAttempts && MayRepeat(call.idempotent, status)) {
     m_io.PostAfter(kRetryPause, [this, number] { Try(number); });
     return;
@@ -184,10 +193,28 @@
 void CallerStandIn::End(std::uint64_t number, bool served) {
   const auto found = m_calls.find(number);
   m_ledger.OnRequestEnd(found->second.started, served);
-  const std::shared_ptr<HttpConnection> ended =
-      std::move(found->second.connection);
-  m_io.Post([ended] {});
+  Discard(std::move(found->second.connection));
   m_calls.erase(found);
 }
 
+std::unique_ptr<HttpConnection> CallerStandIn::TakeIdle(
+    const std::string& address) {
+  std::vector<std::unique_ptr<HttpConnection>>& idle = m_idle[address];
+  std::erase_if(idle, [](const std::unique_ptr<HttpConnection>& connection) {
+    return !connection->IsIdle();
+  });
+  if (idle.empty() || m_random.NextFraction() >= kKeptShare) {
+    return nullptr;
+  }
+  std::unique_ptr<HttpConnection> taken = std::move(idle.back());
+  idle.pop_back();
+  return taken;
+}
+
+void CallerStandIn::Discard(std::unique_ptr<HttpConnection> connection) {
+  // Its own callback may be running.
+  const std::shared_ptr<HttpConnection> ended = std::move(connection);
+  m_io.Post([ended] {});
+}
+
 }  // namespace kumquatcove::stand_in
--- a/src/platform/stand_in/caller_stand_in.h
+++ b/src/platform/stand_in/caller_stand_in.h
@@ -28,7 +28,8 @@
 
 /**
  * Callers of all zones: ask where to connect, send idempotent and other
- * requests, and repeat those that may be repeated once.
+ * requests on new and kept connections, and repeat those that may be repeated
+ * once.
  *
  * Thread safety: all functions but the constructor run on the IoThread.
  */
@@ -73,6 +74,10 @@
   void OnAnswered(std::uint64_t number,
                   const std::optional<HttpResult>& result);
   void End(std::uint64_t number, bool served);
+  /** Returns a kept connection to an address, or null: there is none, or a new
+   * one is to be opened. */
+  std::unique_ptr<HttpConnection> TakeIdle(const std::string& address);
+  void Discard(std::unique_ptr<HttpConnection> connection);
   std::string Pick(const std::vector<std::string>& addresses);
 
   IoThread& m_io;
@@ -81,6 +86,9 @@
   Random m_random;
   std::map<std::string, Directory> m_directories;
   std::map<std::uint64_t, Call> m_calls;
+  /** Kept connections by address; they are used until the instance is gone,
+   * whatever a later look-up says. */
+  std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
   std::uint64_t m_last_call = 0;
   std::uint64_t m_last_attempt = 0;
   bool m_stopped = false;
--- a/src/platform/stand_in/kumquatcove_soak_main.cc
+++ b/src/platform/stand_in/kumquatcove_soak_main.cc
@@ -17,7 +17,12 @@
           "settings template of the deployment");
 ABSL_FLAG(std::string, work_folder, "/tmp/kumquatcove-soak", "settings, logs");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of faults and load");
-ABSL_FLAG(int, rounds, 20, "number of faults, each with planned work after it");
+ABSL_FLAG(int, rounds, 20, "rounds of faults, each with planned work after it");
+ABSL_FLAG(std::string,
+          faults,
+          "",
+          "faults to play instead of drawn ones: rounds separated by commas, "
+          "the faults of a round by +");
 ABSL_FLAG(int, instances_per_zone, 2, "entry instances in each of three zones");
 ABSL_FLAG(double, rate, 60, "requests per second");
 
@@ -37,6 +42,8 @@
   settings.instances_per_zone = absl::GetFlag(FLAGS_instances_per_zone);
   settings.requests_per_second = absl::GetFlag(FLAGS_rate);
   try {
+    settings.script =
+        kumquatcove::stand_in::ParseSoakScript(absl::GetFlag(FLAGS_faults));
     kumquatcove::stand_in::SoakRun run(settings);
     const kumquatcove::stand_in::SoakReport report = run.Play();
     std::cout << "seed " << settings.seed << ": served " << report.all.served
--- a/src/platform/stand_in/soak_ledger.cc
+++ b/src/platform/stand_in/soak_ledger.cc
@@ -20,11 +20,24 @@
 
 }  // namespace
 
-void SoakLedger::OnSent(const std::string& attempt, bool idempotent) {
-  m_attempts[attempt].idempotent = idempotent;
+void SoakLedger::OnSent(const std::string& attempt,
+                        bool idempotent,
+                        MonotonicTime now) {
+  Attempt& sent = m_attempts[attempt];
+  sent.idempotent = idempotent;
+  sent.sent = now;
 }
 
-void SoakLedger::OnRun(const std::string& attempt) {
+void SoakLedger::OnRun(const std::string& attempt,
+                       const std::string& service,
+                       const std::string& target) {
+  // The routes of a soak are named after their service, but for those that
+  // tell the versions of its configuration apart.
+  if (!target.starts_with("/" + service + "/") &&
+      !(service == "browse" && target.starts_with("/version/"))) {
+    OnViolation(absl::StrCat("an upstream of ", service, " ran ", target, ": ",
+                             attempt));
+  }
   const auto found = m_attempts.find(attempt);
   if (found == m_attempts.end()) {
     OnViolation("a request ran that no caller has sent: " + attempt);
@@ -43,8 +56,11 @@
 
 void SoakLedger::OnAnswer(const std::string& attempt,
                           std::int32_t status,
-                          bool whole) {
-  m_attempts[attempt].status = status;
+                          bool whole,
+                          MonotonicTime now) {
+  Attempt& ended = m_attempts[attempt];
+  ended.status = status;
+  ended.ended = now;
   if (!whole) {
     OnViolation("a success isn't the upstream's answer: " + attempt);
   }
@@ -70,8 +86,52 @@
                       });
 }
 
+void SoakLedger::CheckLost(std::vector<std::string>& violations) const {
+  for (const auto& [id, attempt] : m_attempts) {
+    if (attempt.runs > 0 && attempt.status == 0 &&
+        attempt.ended != MonotonicTime{} &&
+        IsCalm(attempt.sent, attempt.ended)) {
+      violations.push_back("passed on and never answered: " + id);
+    }
+  }
+}
+
+void SoakLedger::CheckTimeouts(std::vector<std::string>& violations) const {
+  // The platform allows a quarter of those that reach their timeout, and judges
+  // no fewer than this.
+  constexpr int kMinJudged = 8;
+  constexpr double kMaxLateShare = 0.25;
+  int reached = 0;
+  int late = 0;
+  for (const auto& [id, attempt] : m_attempts) {
+    const Duration spent = attempt.ended - attempt.sent;
+    if (spent >= kRouteTimeout && IsCalm(attempt.sent, attempt.ended)) {
+      ++reached;
+      late += spent > kRouteTimeout + kTimeoutSlack ? 1 : 0;
+    }
+  }
+  if (late >= kMinJudged && late > kMaxLateShare * reached) {
+    violations.push_back(absl::StrCat(
+        late, " of ", reached, " requests were ended late at their timeout"));
+  }
+}
+
 std::vector<std::string> SoakLedger::FindViolations() const {
   std::vector<std::string> violations = m_violations;
+  CheckRuns(violations);
+  CheckLost(violations);
+  CheckTimeouts(violations);
+  for (const LateArrival& late : m_late_arrivals) {
+    if (IsCalm(late.left, late.arrived)) {
+      violations.push_back(absl::StrCat(
+          "upstream ", late.upstream, " got a request ",
+          (late.arrived - late.left).count() / 1000, " ms after it left"));
+    }
+  }
+  return violations;
+}
+
+void SoakLedger::CheckRuns(std::vector<std::string>& violations) const {
   for (const auto& [id, attempt] : m_attempts) {
     if (attempt.idempotent) {
       continue;
@@ -84,14 +144,6 @@
           absl::StrCat("answered ", attempt.status, " and has run: ", id));
     }
   }
-  for (const LateArrival& late : m_late_arrivals) {
-    if (IsCalm(late.left, late.arrived)) {
-      violations.push_back(absl::StrCat(
-          "upstream ", late.upstream, " got a request ",
-          (late.arrived - late.left).count() / 1000, " ms after it left"));
-    }
-  }
-  return violations;
 }
 
 SoakShare SoakLedger::ShareSince(MonotonicTime begin) const {
--- a/src/platform/stand_in/soak_ledger.h
+++ b/src/platform/stand_in/soak_ledger.h
@@ -32,17 +32,27 @@
   /** Time around a disturbance for which bounds don't hold. */
   static constexpr Duration kContactTime = Seconds(3);
 
+  /** Longest time that the soak's routes let a request wait. */
+  static constexpr Duration kRouteTimeout = Seconds(1);
+  /** A request that has waited so long has this long to be answered. */
+  static constexpr Duration kTimeoutSlack = Milliseconds(500);
+
   /** Notes a caller's send under a new id. */
-  void OnSent(const std::string& attempt, bool idempotent);
-  /** Notes that an upstream has begun to work on a request. */
-  void OnRun(const std::string& attempt);
+  void OnSent(const std::string& attempt, bool idempotent, MonotonicTime now);
+  /** Notes that an upstream of a service has begun to work on a request. */
+  void OnRun(const std::string& attempt,
+             const std::string& service,
+             const std::string& target);
   /** Notes a request that reached an upstream which left at `left`. */
   void OnArrivalAfterLeaving(const std::string& upstream,
                              MonotonicTime left,
                              MonotonicTime now);
   /** Notes the end of a send; a status of 0 stands for no answer. `whole` says
    * whether a success is what the upstream has made of this request. */
-  void OnAnswer(const std::string& attempt, std::int32_t status, bool whole);
+  void OnAnswer(const std::string& attempt,
+                std::int32_t status,
+                bool whole,
+                MonotonicTime now);
   /** Notes the end of a caller's request with all its sends. */
   void OnRequestEnd(MonotonicTime started, bool served);
   /** Notes a time for which bounds don't hold. */
@@ -62,9 +72,16 @@
     bool idempotent = false;
     int runs = 0;
     std::int32_t status = 0;
+    MonotonicTime sent;
+    MonotonicTime ended;
   };
 
   bool IsCalm(MonotonicTime begin, MonotonicTime end) const;
+  void CheckRuns(std::vector<std::string>& violations) const;
+  /** Checks that calm requests which were passed on got an answer. */
+  void CheckLost(std::vector<std::string>& violations) const;
+  /** Checks that calm requests which reach their timeout are ended then. */
+  void CheckTimeouts(std::vector<std::string>& violations) const;
 
   std::map<std::string, Attempt> m_attempts;
   std::vector<std::pair<MonotonicTime, bool>> m_requests;
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <iterator>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -14,6 +15,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/ip/address.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -34,6 +36,7 @@
 constexpr int kStorePort = 28'541;
 constexpr int kStoreHost = 100;
 constexpr int kUpstreamHost = 101;
+constexpr int kStoreLinkHost = 102;
 constexpr const char* kHost = "shop.example";
 
 constexpr Duration kStartTimeout = Seconds(10);
@@ -45,6 +48,15 @@
 // Callers end their requests within this time.
 constexpr Duration kCallerTime = Seconds(5);
 
+constexpr double kRouteTimeoutSeconds =
+    std::chrono::duration<double>(SoakLedger::kRouteTimeout).count();
+
+// Faults of one round begin within this time, and last between the other two.
+constexpr std::int64_t kMaxOffsetMs = 1'000;
+constexpr std::int64_t kMinFaultMs = 1'000;
+constexpr std::int64_t kMaxFaultMs = 3'000;
+constexpr std::uint64_t kMaxOverlap = 3;
+
 constexpr std::int32_t kOk = 200;
 constexpr std::int32_t kNotFound = 404;
 
@@ -81,7 +93,7 @@
           {"service", service},
           {"kind", kind},
           {"max-attempts", 2},
-          {"timeout-s", 1.0},
+          {"timeout-s", kRouteTimeoutSeconds},
           {"aim-s", 0.3},
           {"priority", 1},
           {"sticky", true}};
@@ -97,6 +109,23 @@
 
 }  // namespace
 
+std::vector<std::vector<SoakFault>> ParseSoakScript(const std::string& text) {
+  std::vector<std::vector<SoakFault>> rounds;
+  for (const absl::string_view round :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    std::vector<SoakFault>& faults = rounds.emplace_back();
+    for (const absl::string_view part : absl::StrSplit(round, '+')) {
+      const std::string name(absl::StripAsciiWhitespace(part));
+      const std::optional<SoakFault> fault = FromString<SoakFault>(name);
+      if (!fault) {
+        throw std::invalid_argument("not a fault: " + name);
+      }
+      faults.push_back(*fault);
+    }
+  }
+  return rounds;
+}
+
 SoakRun::SoakRun(SoakSettings settings)
     : m_settings(std::move(settings)),
       m_network(OwnNetwork()),
@@ -129,6 +158,12 @@
   callers.host = kHost;
   callers.requests_per_second = m_settings.requests_per_second;
   for (auto& [name, instance] : m_instances) {
+    OnIoThread([&] {
+      instance.store_link = std::make_unique<LinkProxy>(
+          m_io.Context(), Endpoint(absl::StrCat(m_network, kStoreLinkHost), 0));
+      instance.store_link->Open(
+          Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort));
+    });
     instance.settings_file = m_settings.work_folder + "/" + name + ".json";
     std::ofstream(instance.settings_file) << FillTemplate(name, instance);
     callers.lookup_addresses.push_back(
@@ -183,7 +218,8 @@
                    {"{{listen.ready}}", at(kReadyPort)},
                    {"{{internal-ports.0}}", std::to_string(kPeerPort)},
                    {"{{platform.address}}",
-                    absl::StrCat(m_network, kStoreHost, ":", kStorePort)},
+                    absl::StrCat(m_network, kStoreLinkHost, ":",
+                                 instance.store_link->Endpoint().port())},
                    {"{{zones|json}}", json::serialize(zones)},
                    {"{{bounds.retry-budget-ratio}}", "0.2"},
                    {"{{bounds.budget-extra-tries}}", "62"},
@@ -210,7 +246,8 @@
   auto connection = std::make_shared<std::unique_ptr<HttpConnection>>();
   const std::string attempt = absl::StrCat("probe-", ++m_last_probe);
   m_io.Post([=, this] {
-    m_ledger.OnSent(attempt, /*idempotent=*/true);
+    m_ledger.OnSent(attempt, /*idempotent=*/true,
+                    emulator::ReadMonotonicClock());
     *connection = std::make_unique<HttpConnection>(m_io);
     (*connection)->Open(address, kAskTimeout, [=](bool opened) {
       if (!opened) {
@@ -273,13 +310,6 @@
       m_settings.seed + static_cast<std::uint64_t>(m_last_upstream)));
 }
 
-std::string SoakRun::PickInstance() {
-  return std::next(m_instances.begin(),
-                   static_cast<std::ptrdiff_t>(
-                       m_random.NextBelow(m_instances.size())))
-      ->first;
-}
-
 void SoakRun::NoteDisturbance(const std::function<void()>& fault) {
   const MonotonicTime begin = emulator::ReadMonotonicClock();
   fault();
@@ -287,58 +317,197 @@
       [&] { m_ledger.OnDisturbance(begin, emulator::ReadMonotonicClock()); });
 }
 
-void SoakRun::PlayStoreFault(StoreFault fault, Duration time) {
-  OnIoThread([&] { m_store->SetFault(fault); });
-  Sleep(time);
-  OnIoThread([&] { m_store->SetFault(StoreFault::kNone); });
+std::vector<SoakFault> SoakRun::DrawFaults() {
+  std::vector<SoakFault> faults(1 + m_random.NextBelow(kMaxOverlap));
+  for (SoakFault& fault : faults) {
+    fault = static_cast<SoakFault>(
+        m_random.NextBelow(EnumNames(SoakFault{}).size()));
+  }
+  return faults;
 }
 
-void SoakRun::PlayFault(SoakFault fault) {
-  const std::string name = PickInstance();
-  Instance& instance = m_instances.at(name);
-  const Duration time = Milliseconds(
-      1'000 + static_cast<std::int64_t>(m_random.NextBelow(2'000)));
-  LogInfo(LogLine("soak_fault")
-              .Add("kind", ToString(fault))
-              .Add("instance", name)
-              .Add("time_us", time.count()));
+void SoakRun::PlayFaults(const std::vector<SoakFault>& faults) {
+  std::multimap<MonotonicTime, std::function<void()>> ends;
+  // Ends what is due; waits for the rest if `all` is set.
+  const auto end_due = [&](bool all) {
+    while (!ends.empty()) {
+      const MonotonicTime now = emulator::ReadMonotonicClock();
+      if (ends.begin()->first > now) {
+        if (!all) {
+          return;
+        }
+        Sleep(ends.begin()->first - now);
+      }
+      ends.begin()->second();
+      ends.erase(ends.begin());
+    }
+  };
+  const auto draw = [this](std::int64_t least, std::int64_t most) {
+    return Milliseconds(least + static_cast<std::int64_t>(m_random.NextBelow(
+                                    static_cast<std::uint64_t>(most - least))));
+  };
+  for (const SoakFault fault : faults) {
+    const Duration time = draw(kMinFaultMs, kMaxFaultMs);
+    LogInfo(LogLine("soak_fault")
+                .Add("kind", ToString(fault))
+                .Add("time_us", time.count()));
+    if (std::function<void()> finish = Begin(fault)) {
+      ends.emplace(emulator::ReadMonotonicClock() + time, std::move(finish));
+    }
+    Sleep(draw(0, kMaxOffsetMs));
+    end_due(false);
+  }
+  if (m_random.NextBelow(2) == 0) {
+    OnIoThread([this] { PublishConfiguration(++m_version); });
+  }
+  end_due(true);
+  m_store_in_use = false;
+  m_upstreams_in_use.clear();
+  for (auto& [name, instance] : m_instances) {
+    instance.in_use = false;
+  }
+  WaitUntilAllReady();
+}
+
+void SoakRun::WaitUntilAllReady() {
+  for (const auto& [name, instance] : m_instances) {
+    WaitUntilReady(name);
+  }
+}
+
+std::pair<const std::string, SoakRun::Instance>* SoakRun::TakeInstance() {
+  std::vector<std::pair<const std::string, Instance>*> free;
+  for (auto& entry : m_instances) {
+    if (!entry.second.in_use) {
+      free.push_back(&entry);
+    }
+  }
+  if (free.empty()) {
+    return nullptr;
+  }
+  auto* taken = free[m_random.NextBelow(free.size())];
+  taken->second.in_use = true;
+  return taken;
+}
+
+UpstreamStandIn* SoakRun::TakeUpstream() {
+  UpstreamStandIn* taken =
+      m_upstreams[m_random.NextBelow(m_upstreams.size())].get();
+  return m_upstreams_in_use.insert(taken).second ? taken : nullptr;
+}
+
+std::function<void()> SoakRun::Begin(SoakFault fault) {
   switch (fault) {
     case SoakFault::kInstanceKilled:
-      instance.process->Kill();
-      Sleep(time);
-      StartInstance(name);
-      WaitUntilReady(name);
-      return;
     case SoakFault::kInstanceFrozen:
-      instance.process->Freeze();
-      Sleep(time);
-      instance.process->Thaw();
-      return;
+    case SoakFault::kInstanceRestarted:
+      return BeginInstanceFault(fault);
     case SoakFault::kStoreDown:
-      PlayStoreFault(StoreFault::kDown, time);
-      return;
+      return BeginStoreFault(StoreFault::kDown);
     case SoakFault::kStoreSilent:
-      PlayStoreFault(StoreFault::kSilent, time);
-      return;
+      return BeginStoreFault(StoreFault::kSilent);
     case SoakFault::kStoreBusy:
-      PlayStoreFault(StoreFault::kBusy, time);
-      return;
+      return BeginStoreFault(StoreFault::kBusy);
     case SoakFault::kStoreLosesReplies:
-      PlayStoreFault(StoreFault::kLosesReplies, time);
-      return;
+      return BeginStoreFault(StoreFault::kLosesReplies);
     case SoakFault::kStoreForgets:
-      OnIoThread([&] { m_store->Compact(); });
-      return;
-    case SoakFault::kUpstreamCrashed: {
-      UpstreamStandIn& upstream =
-          *m_upstreams[m_random.NextBelow(m_upstreams.size())];
-      OnIoThread([&] { upstream.Crash(); });
-      Sleep(time);
-      OnIoThread(
-          [&] { upstream.Restart(absl::StrCat("i-", ++m_last_upstream)); });
-      return;
-    }
+      OnIoThread([this] { m_store->Compact(); });
+      return nullptr;
+    case SoakFault::kStoreLinkSilent:
+      return BeginStoreLinkFault(LinkFault::kOpenSilent);
+    case SoakFault::kStoreLinkCut:
+      return BeginStoreLinkFault(LinkFault::kCutToServer);
+    case SoakFault::kStoreLinkOneWay:
+      return BeginStoreLinkFault(LinkFault::kCutToClient);
+    case SoakFault::kStoreLinkDelayed:
+      return BeginStoreLinkFault(LinkFault::kDelayed);
+    case SoakFault::kStoreLinkReset:
+      return BeginStoreLinkFault(LinkFault::kReset);
+    case SoakFault::kUpstreamCrashed:
+    case SoakFault::kAddressReused:
+      return BeginUpstreamFault(fault);
+    case SoakFault::kUpstreamLinkSilent:
+      return BeginUpstreamLinkFault(LinkFault::kOpenSilent);
+    case SoakFault::kUpstreamLinkCut:
+      return BeginUpstreamLinkFault(LinkFault::kCutToServer);
+    case SoakFault::kUpstreamLinkOneWay:
+      return BeginUpstreamLinkFault(LinkFault::kCutToClient);
+    case SoakFault::kUpstreamLinkDelayed:
+      return BeginUpstreamLinkFault(LinkFault::kDelayed);
+    case SoakFault::kUpstreamLinkReset:
+      return BeginUpstreamLinkFault(LinkFault::kReset);
+  }
+  return nullptr;
+}
+
+std::function<void()> SoakRun::BeginStoreFault(StoreFault fault) {
+  if (std::exchange(m_store_in_use, true)) {
+    return nullptr;
   }
+  OnIoThread([&] { m_store->SetFault(fault); });
+  return
+      [this] { OnIoThread([this] { m_store->SetFault(StoreFault::kNone); }); };
+}
+
+std::function<void()> SoakRun::BeginInstanceFault(SoakFault fault) {
+  auto* taken = TakeInstance();
+  if (taken == nullptr) {
+    return nullptr;
+  }
+  const std::string name = taken->first;
+  ChildProcess& process = *taken->second.process;
+  if (fault == SoakFault::kInstanceFrozen) {
+    process.Freeze();
+    return [&process] { process.Thaw(); };
+  }
+  if (fault == SoakFault::kInstanceKilled) {
+    process.Kill();
+    return [this, name] { StartInstance(name); };
+  }
+  process.Terminate();
+  return [this, name] {
+    CheckEnd(name);
+    StartInstance(name);
+  };
+}
+
+std::function<void()> SoakRun::BeginStoreLinkFault(LinkFault fault) {
+  auto* taken = TakeInstance();
+  if (taken == nullptr) {
+    return nullptr;
+  }
+  LinkProxy& link = *taken->second.store_link;
+  OnIoThread([&] { link.SetFault(fault); });
+  return
+      [this, &link] { OnIoThread([&] { link.SetFault(LinkFault::kNone); }); };
+}
+
+std::function<void()> SoakRun::BeginUpstreamFault(SoakFault fault) {
+  UpstreamStandIn* upstream = TakeUpstream();
+  if (upstream == nullptr) {
+    return nullptr;
+  }
+  OnIoThread([&] { upstream->Crash(); });
+  std::string service = upstream->Settings().service;
+  if (fault == SoakFault::kAddressReused) {
+    service = service == "browse" ? "order" : "browse";
+  }
+  return [this, upstream, service] {
+    OnIoThread([&] {
+      upstream->Restart(absl::StrCat("i-", ++m_last_upstream), service);
+    });
+  };
+}
+
+std::function<void()> SoakRun::BeginUpstreamLinkFault(LinkFault fault) {
+  UpstreamStandIn* upstream = TakeUpstream();
+  if (upstream == nullptr) {
+    return nullptr;
+  }
+  OnIoThread([&] { upstream->Link().SetFault(fault); });
+  return [this, upstream] {
+    OnIoThread([&] { upstream->Link().SetFault(LinkFault::kNone); });
+  };
 }
 
 void SoakRun::PlayWork(SoakWork work) {
@@ -351,7 +520,11 @@
       ChangeConfiguration();
       return;
     case SoakWork::kInstanceRestarted: {
-      const std::string name = PickInstance();
+      const std::string name =
+          std::next(m_instances.begin(),
+                    static_cast<std::ptrdiff_t>(
+                        m_random.NextBelow(m_instances.size())))
+              ->first;
       Stop(name);
       StartInstance(name);
       WaitUntilReady(name);
@@ -386,9 +559,9 @@
         Ask(absl::StrCat(instance.ip, ":", kCallerPort), kHost,
             absl::StrCat("/version/", m_version, "/"));
     if (status == kNotFound || status == 0) {
-      OnIoThread([&] {
+      OnIoThread([&, late = name] {
         m_ledger.OnViolation(absl::StrCat("version ", m_version,
-                                          " isn't in force at ", name,
+                                          " isn't in force at ", late,
                                           ", status ", status));
       });
     }
@@ -396,8 +569,12 @@
 }
 
 void SoakRun::Stop(const std::string& name) {
+  m_instances.at(name).process->Terminate();
+  CheckEnd(name);
+}
+
+void SoakRun::CheckEnd(const std::string& name) {
   ChildProcess& process = *m_instances.at(name).process;
-  process.Terminate();
   const bool ended = process.WaitForEnd(kGrace);
   if (!ended || process.ExitCode() != 0) {
     OnIoThread([&] {
@@ -422,10 +599,15 @@
 SoakReport SoakRun::Play() {
   const MonotonicTime begin = emulator::ReadMonotonicClock();
   Sleep(Seconds(2));
-  for (int round = 0; round < m_settings.rounds; ++round) {
-    const auto fault = static_cast<SoakFault>(
-        m_random.NextBelow(EnumNames(SoakFault{}).size()));
-    NoteDisturbance([&] { PlayFault(fault); });
+  const int rounds = m_settings.script.empty()
+                         ? m_settings.rounds
+                         : static_cast<int>(m_settings.script.size());
+  for (int round = 0; round < rounds; ++round) {
+    const std::vector<SoakFault> faults =
+        m_settings.script.empty()
+            ? DrawFaults()
+            : m_settings.script[static_cast<std::size_t>(round)];
+    NoteDisturbance([&] { PlayFaults(faults); });
     CheckProcesses();
     Sleep(SoakLedger::kContactTime);
     PlayWork(static_cast<SoakWork>(
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock_reading.h"
@@ -15,6 +17,7 @@
 #include "base/random.h"
 #include "deployment/child_process.h"
 #include "platform/stand_in/caller_stand_in.h"
+#include "platform/stand_in/link_proxy.h"
 #include "platform/stand_in/soak_ledger.h"
 #include "platform/stand_in/upstream_stand_in.h"
 #include "platform/stand_in/user_store_stand_in.h"
@@ -26,24 +29,49 @@
 enum class SoakFault {
   kInstanceKilled,
   kInstanceFrozen,
+  kInstanceRestarted,
   kStoreDown,
   kStoreSilent,
   kStoreBusy,
   kStoreLosesReplies,
   kStoreForgets,
+  kStoreLinkSilent,
+  kStoreLinkCut,
+  kStoreLinkOneWay,
+  kStoreLinkDelayed,
+  kStoreLinkReset,
   kUpstreamCrashed,
+  kAddressReused,
+  kUpstreamLinkSilent,
+  kUpstreamLinkCut,
+  kUpstreamLinkOneWay,
+  kUpstreamLinkDelayed,
+  kUpstreamLinkReset,
 };
 
 constexpr auto EnumNames(SoakFault) {
   using Row = EnumName<SoakFault>;
-  return std::array{Row{SoakFault::kInstanceKilled, "instance killed"},
-                    Row{SoakFault::kInstanceFrozen, "instance frozen"},
-                    Row{SoakFault::kStoreDown, "store down"},
-                    Row{SoakFault::kStoreSilent, "store silent"},
-                    Row{SoakFault::kStoreBusy, "store busy"},
-                    Row{SoakFault::kStoreLosesReplies, "store loses replies"},
-                    Row{SoakFault::kStoreForgets, "store forgets its history"},
-                    Row{SoakFault::kUpstreamCrashed, "upstream crashed"}};
+  return std::array{
+      Row{SoakFault::kInstanceKilled, "instance killed"},
+      Row{SoakFault::kInstanceFrozen, "instance frozen"},
+      Row{SoakFault::kInstanceRestarted, "instance restarted"},
+      Row{SoakFault::kStoreDown, "store down"},
+      Row{SoakFault::kStoreSilent, "store silent"},
+      Row{SoakFault::kStoreBusy, "store busy"},
+      Row{SoakFault::kStoreLosesReplies, "store loses replies"},
+      Row{SoakFault::kStoreForgets, "store forgets its history"},
+      Row{SoakFault::kStoreLinkSilent, "store link silent"},
+      Row{SoakFault::kStoreLinkCut, "store link cut"},
+      Row{SoakFault::kStoreLinkOneWay, "store link cut one way"},
+      Row{SoakFault::kStoreLinkDelayed, "store link delayed"},
+      Row{SoakFault::kStoreLinkReset, "store link reset"},
+      Row{SoakFault::kUpstreamCrashed, "upstream crashed"},
+      Row{SoakFault::kAddressReused, "address reused"},
+      Row{SoakFault::kUpstreamLinkSilent, "upstream link silent"},
+      Row{SoakFault::kUpstreamLinkCut, "upstream link cut"},
+      Row{SoakFault::kUpstreamLinkOneWay, "upstream link cut one way"},
+      Row{SoakFault::kUpstreamLinkDelayed, "upstream link delayed"},
+      Row{SoakFault::kUpstreamLinkReset, "upstream link reset"}};
 }
 
 /** Planned work of a soak. */
@@ -70,8 +98,10 @@
   /** Folder for settings and logs; made if it doesn't exist. */
   std::string work_folder;
   std::uint64_t seed = 1;
-  /** Number of faults, each followed by planned work. */
+  /** Number of rounds: faults that overlap, then planned work. */
   int rounds = 6;
+  /** Faults of each round; empty to draw them. */
+  std::vector<std::vector<SoakFault>> script;
   int instances_per_zone = 2;
   double requests_per_second = 60;
 };
@@ -86,15 +116,20 @@
   std::size_t store_calls = 0;
 };
 
+/** Reads a script: rounds separated by commas, the faults of one by `+`, each
+ * by its name. Throws std::invalid_argument that names what isn't a fault. */
+std::vector<std::vector<SoakFault>> ParseSoakScript(const std::string& text);
+
 /**
  * Entry instances as processes on loopback, before stand-ins of the platform,
  * upstreams and callers, under faults drawn from a seed.
  *
- * Each round plays one fault (an instance killed, frozen or stopped; the store
- * down, silent, busy, losing replies or forgetting; an upstream crashed), lets
- * it end, and then does planned work (an upstream drained and replaced, a new
- * configuration), whose bounds are checked. Everything listens on addresses in
- * 127.0.0.0/8 that no other run uses at the same time. Thread safety: none.
+ * Each round plays up to three faults that overlap, with planned work among
+ * them in half of the rounds, lets them end, and then does planned work (an
+ * upstream drained and replaced, a new configuration, an instance restarted)
+ * whose bounds are checked. Links to the store and to upstreams pass a proxy of
+ * their own. Everything listens on addresses in 127.0.0.0/8 that no other run
+ * uses at the same time. Thread safety: none.
  */
 class SoakRun {
  public:
@@ -113,6 +148,9 @@
     std::string ip;
     std::string settings_file;
     std::optional<ChildProcess> process;
+    std::unique_ptr<LinkProxy> store_link;
+    /** A fault of the present round concerns it. */
+    bool in_use = false;
   };
 
   /** Runs work on the thread of the stand-ins and waits for its end. */
@@ -127,17 +165,32 @@
                    const std::string& target);
   void PublishConfiguration(int version);
   void AddUpstream(const std::string& service, const std::string& zone);
-  void PlayFault(SoakFault fault);
-  void PlayStoreFault(StoreFault fault, Duration time);
+  std::vector<SoakFault> DrawFaults();
+  void PlayFaults(const std::vector<SoakFault>& faults);
+  /** Begins a fault and returns what ends it; nothing if all that it could
+   * concern has another fault. */
+  std::function<void()> Begin(SoakFault fault);
+  std::function<void()> BeginStoreFault(StoreFault fault);
+  std::function<void()> BeginInstanceFault(SoakFault fault);
+  std::function<void()> BeginStoreLinkFault(LinkFault fault);
+  std::function<void()> BeginUpstreamFault(SoakFault fault);
+  std::function<void()> BeginUpstreamLinkFault(LinkFault fault);
+  /** Returns an instance without a fault, or null; it has one from now on. */
+  std::pair<const std::string, Instance>* TakeInstance();
+  /** The same for an upstream. */
+  UpstreamStandIn* TakeUpstream();
+  void WaitUntilAllReady();
   void PlayWork(SoakWork work);
   void DrainAndReplace();
+  /** Publishes a configuration, which must be in force in time. */
   void ChangeConfiguration();
   /** Ends an instance in order; it must exit with 0 within its grace time. */
   void Stop(const std::string& name);
+  /** Waits for the end of an instance that was told to end. */
+  void CheckEnd(const std::string& name);
   void NoteDisturbance(const std::function<void()>& fault);
   /** Reports instances that have ended by themselves. */
   void CheckProcesses();
-  std::string PickInstance();
 
   SoakSettings m_settings;
   std::string m_network;
@@ -147,6 +200,8 @@
   int m_version = 0;
   int m_last_upstream = 0;
   int m_last_probe = 0;
+  bool m_store_in_use = false;
+  std::set<UpstreamStandIn*> m_upstreams_in_use;
   /** The stand-ins run on this thread, which is stopped before they go. */
   IoThread m_io;
   std::unique_ptr<UserStoreStandIn> m_store;
--- a/src/platform/stand_in/stand_in.h
+++ b/src/platform/stand_in/stand_in.h
@@ -7,11 +7,12 @@
  *
  * `UserStoreStandIn` is the platform's store, `UpstreamStandIn` a registered
  * upstream and `CallerStandIn` the callers, all in one thread; `SoakRun` starts
- * entry instances as processes, plays faults on all of them, and checks what
- * upstreams and callers have seen by `SoakLedger`. Only the platform's
- * published protocol is used.
+ * entry instances as processes, plays faults on all of them and on the links
+ * between them (`LinkProxy`), and checks what upstreams and callers have seen
+ * by `SoakLedger`. Only the platform's published protocol is used.
  */
 #include "platform/stand_in/caller_stand_in.h"
+#include "platform/stand_in/link_proxy.h"
 #include "platform/stand_in/soak_ledger.h"
 #include "platform/stand_in/soak_run.h"
 #include "platform/stand_in/upstream_stand_in.h"
--- a/src/platform/stand_in/upstream_stand_in.cc
+++ b/src/platform/stand_in/upstream_stand_in.cc
@@ -42,18 +42,23 @@
       m_settings(std::move(settings)),
       m_random(seed),
       m_started_ms(emulator::ReadWallClock().microseconds / 1000),
-      m_server(io, m_settings.endpoint, [this](const Session& session) {
-        Handle(session);
-      }) {
-  m_server.Open();
-  m_settings.endpoint.port(m_server.Port());
+      m_server(io,
+               {m_settings.endpoint.address(), 0},
+               [this](const Session& session) { Handle(session); }),
+      m_link(io, m_settings.endpoint) {
+  Open();
   Register(false);
 }
 
+void UpstreamStandIn::Open() {
+  m_server.Open();
+  m_link.Open({m_settings.endpoint.address(), m_server.Port()});
+}
+
 void UpstreamStandIn::Register(bool draining) {
   namespace json = boost::json;
   const json::object row{
-      {"address", ToText(m_settings.endpoint)},
+      {"address", ToText(m_link.Endpoint())},
       {"born", m_started_ms},
       {"info", json::object{{"service", m_settings.service},
                             {"version", "1"},
@@ -78,16 +83,19 @@
   ++m_incarnation;
   m_running.clear();
   m_waiting.clear();
+  m_link.Close();
   m_server.StopListening();
   m_server.ResetConnections();
 }
 
-void UpstreamStandIn::Restart(const std::string& id) {
+void UpstreamStandIn::Restart(const std::string& id,
+                              const std::string& service) {
   m_store.Remove("servers", m_settings.id);
   m_settings.id = id;
+  m_settings.service = service;
   m_started_ms = emulator::ReadWallClock().microseconds / 1000;
   m_sequence = 0;
-  m_server.Open();
+  Open();
   Register(false);
 }
 
@@ -117,7 +125,8 @@
 }
 
 void UpstreamStandIn::Run(const Session& session) {
-  m_ledger.OnRun(session->Header("Attempt-Id"));
+  m_ledger.OnRun(session->Header("Attempt-Id"), m_settings.service,
+                 std::string(session->GetRequest().target()));
   m_running.insert(session);
   session->OnPeerClosed([this, session] {
     m_running.erase(session);
--- a/src/platform/stand_in/upstream_stand_in.h
+++ b/src/platform/stand_in/upstream_stand_in.h
@@ -13,6 +13,7 @@
 #include "base/clock_reading.h"
 #include "base/random.h"
 #include "emulator/http_server.h"
+#include "platform/stand_in/link_proxy.h"
 #include "platform/stand_in/soak_ledger.h"
 #include "platform/stand_in/user_store_stand_in.h"
 
@@ -23,6 +24,7 @@
   std::string id;
   std::string service;
   std::string zone;
+  /** Where entry instances connect; with port 0 any port will do. */
   boost::asio::ip::tcp::endpoint endpoint;
   std::size_t slots = 3;
   Duration mean_work = Milliseconds(40);
@@ -53,15 +55,19 @@
   void Deregister();
   /** Ends without a word: connections break, nothing is answered. */
   void Crash();
-  /** Starts again at the same address as another incarnation. Precondition: it
-   * has crashed. */
-  void Restart(const std::string& id);
+  /** Starts again at the same address as another incarnation, perhaps of
+   * another service. Precondition: it has crashed. */
+  void Restart(const std::string& id, const std::string& service);
+
+  /** Returns the link between the entry instances and this upstream. */
+  LinkProxy& Link() { return m_link; }
 
   const UpstreamStandInSettings& Settings() const { return m_settings; }
 
  private:
   using Session = std::shared_ptr<emulator::HttpSession>;
 
+  void Open();
   void Register(bool draining);
   void Handle(const Session& session);
   void StartWaiting();
@@ -82,6 +88,7 @@
   /** Grows at each end, so that work of an earlier incarnation is dropped. */
   std::uint64_t m_incarnation = 0;
   emulator::HttpServer m_server;
+  LinkProxy m_link;
 };
 
 /** Returns the body that an upstream answers to a request. */
