Bound the log's volume, never wait for its reader, and read log files as a time line

Lines of each event have a rate of their own, answered requests the lowest; what is left out is counted in lines_omitted and in a metric. LogOutput writes whole lines and drops those that a pipe wouldn't take at once: glog's standard output was buffered, so that lines of several instances were torn in one stream and the last ones were lost with a killed process.

--- a/src/daemon/kumquatcoved_main.cc
+++ b/src/daemon/kumquatcoved_main.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include <unistd.h>
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -16,6 +18,7 @@
 #include "platform/user_registry_codec.h"
 #include "runtime/daemon.h"
 #include "runtime/log_line.h"
+#include "runtime/log_output.h"
 #include "runtime/settings.h"
 #include "runtime/system_clock.h"
 
@@ -125,11 +128,10 @@
     const kumquatcove::LogLevel level =
         settings.log_level.value_or(kumquatcove::LogLevel::kInfo);
     FLAGS_minloglevel = static_cast<int>(level);
-    if (settings.registered) {
-      // The platform keeps what processes write to standard output.
-      FLAGS_logtostdout = true;
-      FLAGS_logtostderr = false;
-    }
+    // The platform keeps what processes write to standard output.
+    kumquatcove::LogOutput output(settings.registered ? STDOUT_FILENO
+                                                      : STDERR_FILENO);
+    output.Install();
     return RunDaemon(settings, file);
   } catch (const kumquatcove::SettingsError& error) {
     std::cerr << "kumquatcoved: " << error.what() << '\n';
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -198,6 +198,7 @@
     set("event_backlog", m_actor->Backlog());
     set("upstream_connections", m_upstreams.Connections());
     set("caller_connections_accepted", m_caller_server.AcceptedConnections());
+    m_metrics.Add("log_lines_omitted_total", LogOmittedLines());
     m_io.PostAfter(kMetricsInterval, [this] { UpdateMetrics(); });
   }
 
--- a/src/runtime/effect_dispatcher.cc
+++ b/src/runtime/effect_dispatcher.cc
@@ -7,8 +7,6 @@
 
 #include "runtime/log_line.h"
 
-#include <glog/logging.h>
-
 namespace kumquatcove {
 
 namespace {
@@ -48,9 +46,7 @@
   void operator()(AnswerOperator& effect) const {
     m_adapters.operators->Carry(effect);
   }
-  void operator()(RecordTimeline& effect) const {
-    LOG(INFO) << FormatTimelineEvent(effect.event);
-  }
+  void operator()(RecordTimeline& effect) const { LogEvent(effect.event); }
   void operator()(SetReadiness& effect) const {
     if (m_adapters.set_readiness) {
       m_adapters.set_readiness(effect);
--- a/src/runtime/log_line_test.cc
+++ b/src/runtime/log_line_test.cc
@@ -27,4 +27,26 @@
         "service=caja");
 }
 
+TEST_CASE("An event is read back from its log line") {
+  const TimelineEvent event{{5'000'000, 2},
+                            InstanceId("e1"),
+                            "request_refused",
+                            "key 1",
+                            {{"problem", "a \"b\"\n=c\x80"}, {"empty", ""}}};
+  const std::string line = FormatTimelineEvent(event);
+  CHECK(ParseTimelineEvent(line) == event);
+  CHECK(ParseTimelineEvent("I20261204 12:00:00.1 7 a.cc:1] " + line + "\n") ==
+        event);
+}
+
+TEST_CASE("Lines that are torn or foreign harm nothing") {
+  CHECK_FALSE(ParseTimelineEvent("").has_value());
+  CHECK_FALSE(ParseTimelineEvent("a line of another program").has_value());
+  const auto torn = ParseTimelineEvent("event=started subject=\"e1");
+  REQUIRE(torn.has_value());
+  CHECK(torn->subject == "e1");
+  CHECK(ParseTimelineEvent("event=started hybrid_time=x.y instance=")
+            .has_value());
+}
+
 }  // namespace kumquatcove
--- /dev/null
+++ b/src/runtime/log_output_test.cc
@@ -0,0 +1,93 @@
+#include "runtime/log_output.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#define DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES
+#include <doctest/doctest.h>
+
+namespace kumquatcove {
+namespace {
+
+/** A log output into a pipe whose reader reads when it is told to. */
+class PipeBench {
+ public:
+  PipeBench() = default;
+  ~PipeBench() {
+    ::close(m_ends[0]);
+    ::close(m_ends[1]);
+  }
+  PipeBench(const PipeBench&) = delete;
+  PipeBench& operator=(const PipeBench&) = delete;
+
+  void Write(const std::string& text) {
+    m_output.send(google::GLOG_INFO, "a/file.cc", "file.cc", 7,
+                  google::LogMessageTime(), text.data(), text.size());
+  }
+
+  std::uint64_t TakeDropped() { return m_output.TakeDropped(); }
+
+  /** Returns what has been written since the last call. */
+  std::string Read() {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    ssize_t size = 0;
+    while ((size = ::read(m_ends[0], buffer.data(), buffer.size())) > 0) {
+      text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+  }
+
+ private:
+  static std::array<int, 2> Open() {
+    std::array<int, 2> ends{};
+    DOCTEST_REQUIRE(::pipe(ends.data()) == 0);
+    DOCTEST_REQUIRE(::fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    return ends;
+  }
+
+  std::array<int, 2> m_ends = Open();
+  LogOutput m_output{m_ends[1]};
+};
+
+}  // namespace
+
+DOCTEST_TEST_CASE("A line is written whole, with what the log puts before it") {
+  PipeBench bench;
+  bench.Write("event=started");
+  const std::string text = bench.Read();
+  DOCTEST_CHECK(text.starts_with("I"));
+  DOCTEST_CHECK(text.ends_with("file.cc:7] event=started\n"));
+  DOCTEST_CHECK(bench.TakeDropped() == 0);
+}
+
+// Guards against a process that stands still because nobody reads its log.
+DOCTEST_TEST_CASE("Lines that nobody reads are dropped and counted") {
+  PipeBench bench;
+  constexpr std::uint64_t kLines = 5'000;
+  for (std::uint64_t i = 0; i < kLines; ++i) {
+    bench.Write("event=request_refused number=" + std::to_string(i));
+  }
+  const std::uint64_t dropped = bench.TakeDropped();
+  DOCTEST_CHECK(dropped > 0);
+  const std::string text = bench.Read();
+  DOCTEST_CHECK(static_cast<std::uint64_t>(std::count(
+                    text.begin(), text.end(), '\n')) == kLines - dropped);
+  DOCTEST_CHECK(text.ends_with('\n'));
+  bench.Write("event=started");
+  DOCTEST_CHECK(bench.TakeDropped() == 0);
+}
+
+DOCTEST_TEST_CASE("A line that is too long is cut") {
+  PipeBench bench;
+  bench.Write(std::string(2 * LogOutput::kMaxLineBytes, 'x'));
+  const std::string text = bench.Read();
+  DOCTEST_CHECK(text.size() == LogOutput::kMaxLineBytes);
+  DOCTEST_CHECK(text.ends_with('\n'));
+}
+
+}  // namespace kumquatcove
--- a/src/tools/kumquatcove_main.cc
+++ b/src/tools/kumquatcove_main.cc
@@ -21,6 +21,10 @@
 ABSL_FLAG(std::string, token_file, "", "file that holds the bearer token");
 ABSL_FLAG(std::string, output, "text", "form of the results: text or json");
 ABSL_FLAG(std::string, format, "", "of timeline: text, json or html");
+ABSL_FLAG(std::string,
+          logs,
+          "",
+          "of timeline: log files of instances, separated by commas");
 ABSL_FLAG(bool,
           wait,
           false,
@@ -99,6 +103,8 @@
     return Fail("--timeout_s and --wait_timeout_s must be at least 1");
   }
   settings.client.total_timeout = Seconds(absl::GetFlag(FLAGS_timeout_s));
+  settings.logs =
+      absl::StrSplit(absl::GetFlag(FLAGS_logs), ',', absl::SkipEmpty());
   settings.wait = absl::GetFlag(FLAGS_wait);
   settings.undo = absl::GetFlag(FLAGS_undo);
   settings.wait_timeout = Seconds(absl::GetFlag(FLAGS_wait_timeout_s));
--- a/src/tools/operator_tool.cc
+++ b/src/tools/operator_tool.cc
@@ -16,6 +16,7 @@
 #include "protocol/timeline_event.h"
 #include "tools/catalogue_reader.h"
 #include "tools/json_text.h"
+#include "tools/log_timeline.h"
 #include "tools/status_table.h"
 #include "tools/timeline_page.h"
 
@@ -57,9 +58,12 @@
                        "Takes an upstream out of service; --undo puts it back.",
                        1, 1, true},
     CommandDescription{
-        "timeline", "SUBJECT [--format text|json|html]",
+        "timeline", "SUBJECT [--format text|json|html] [--logs FILE,...]",
         "Merges the events that mention a request id, idempotency key, edit\n"
-        "id, upstream or instance from all entry instances.",
+        "id, upstream or instance from all entry instances. With --logs, "
+        "reads\n"
+        "log files of instances, and adds what happened to the upstreams and\n"
+        "instances of the requests shortly before.",
         1, 1, true},
     CommandDescription{"help", "[COMMAND]", "Explains the commands.", 0, 1,
                        false}};
@@ -242,7 +246,8 @@
     return Usage("usage: kumquatcove " + arguments[0] + " " +
                  std::string(command->arguments));
   }
-  if (command->needs_entries && m_client.Entries().empty()) {
+  if (command->needs_entries && m_client.Entries().empty() &&
+      m_settings.logs.empty()) {
     return Usage("give --entries or set KUMQUATCOVE_ENTRIES");
   }
   using Method = ExitCode (OperatorTool::*)(const Arguments&);
@@ -256,6 +261,9 @@
   } catch (const CatalogueFileError& error) {
     m_error << error.what() << '\n';
     return ExitCode::kInvalid;
+  } catch (const LogFileError& error) {
+    m_error << error.what() << '\n';
+    return ExitCode::kInvalid;
   } catch (const std::exception& error) {
     m_error << "unexpected answer: " << error.what() << '\n';
     return ExitCode::kUnavailable;
@@ -398,7 +406,32 @@
   return Commit({*edit});
 }
 
+ExitCode OperatorTool::TimelineOfLogs(const std::string& subject) {
+  const std::vector<TimelineEvent> events =
+      SelectCauses(ReadLogFiles(m_settings.logs), subject);
+  if (events.empty()) {
+    m_error << "no event of '" << subject << "' in the logs\n";
+    return ExitCode::kInvalid;
+  }
+  PrintTimeline(subject, events);
+  return ExitCode::kOk;
+}
+
+void OperatorTool::PrintTimeline(const std::string& subject,
+                                 const std::vector<TimelineEvent>& events) {
+  if (m_settings.output == OutputFormat::kJson) {
+    m_out << IndentedJson(ToJson(events));
+  } else if (m_settings.output == OutputFormat::kHtml) {
+    m_out << TimelineHtml(subject, events);
+  } else {
+    m_out << TimelineText(events);
+  }
+}
+
 ExitCode OperatorTool::Timeline(const Arguments& subjects) {
+  if (!m_settings.logs.empty()) {
+    return TimelineOfLogs(subjects[0]);
+  }
   std::vector<TimelineEvent> events;
   bool any_answered = false;
   for (const std::string& entry : m_client.Entries()) {
@@ -415,14 +448,7 @@
   if (!any_answered) {
     return ExitCode::kUnavailable;
   }
-  events = MergeTimelines(std::move(events));
-  if (m_settings.output == OutputFormat::kJson) {
-    m_out << IndentedJson(ToJson(events));
-  } else if (m_settings.output == OutputFormat::kHtml) {
-    m_out << TimelineHtml(subjects[0], events);
-  } else {
-    m_out << TimelineText(events);
-  }
+  PrintTimeline(subjects[0], MergeTimelines(std::move(events)));
   return ExitCode::kOk;
 }
 
--- a/src/tools/operator_tool.h
+++ b/src/tools/operator_tool.h
@@ -8,6 +8,7 @@
 
 #include "catalogue/entry.h"
 #include "protocol/operator_command.h"
+#include "protocol/timeline_event.h"
 #include "tools/exit_code.h"
 #include "tools/operator_client.h"
 
@@ -24,6 +25,8 @@
   bool wait = false;
   /** Of `drain`: put the upstream back into service. */
   bool undo = false;
+  /** Of `timeline`: log files that are read instead of asking instances. */
+  std::vector<std::string> logs;
   /** How long `wait` waits. */
   Duration wait_timeout = Seconds(15);
 };
@@ -53,6 +56,9 @@
   ExitCode Status(const Arguments& none);
   ExitCode Drain(const Arguments& upstreams);
   ExitCode Timeline(const Arguments& subjects);
+  ExitCode TimelineOfLogs(const std::string& subject);
+  void PrintTimeline(const std::string& subject,
+                     const std::vector<TimelineEvent>& events);
   ExitCode Help(const Arguments& commands);
 
   ExitCode Usage(const std::string& problem);
--- a/src/tools/tools.h
+++ b/src/tools/tools.h
@@ -18,6 +18,7 @@
 #include "tools/load_generator.h"
 #include "tools/load_report.h"
 #include "tools/load_settings.h"
+#include "tools/log_timeline.h"
 #include "tools/operator_client.h"
 #include "tools/operator_tool.h"
 #include "tools/status_table.h"
