Give each test deployment its own loopback addresses, and read changed settings without a signal

A deployment whose process ends names it with the last line of its log; a port that is taken showed that the daemon's error at the start was written nowhere any more, since the log output had gone by then.

The platform may change the settings file without SIGHUP: SettingsWatch compares its text once a second.

--- a/src/daemon/kumquatcoved_main.cc
+++ b/src/daemon/kumquatcoved_main.cc
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -20,6 +21,7 @@
 #include "runtime/log_line.h"
 #include "runtime/log_output.h"
 #include "runtime/settings.h"
+#include "runtime/settings_watch.h"
 #include "runtime/system_clock.h"
 
 ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
@@ -41,11 +43,13 @@
   return node;
 }
 
-void ReloadSettings(const std::string& file, kumquatcove::EventSink& events) {
+void PostChange(kumquatcove::SettingsWatch& watch,
+                kumquatcove::EventSink& events,
+                bool signalled) {
   try {
-    const kumquatcove::Settings settings = kumquatcove::ReadSettingsFile(file);
-    if (settings.registered) {
-      events.Post(kumquatcove::SettingsReloaded{settings.registered->limits});
+    const auto settings = watch.Read(signalled);
+    if (settings && settings->registered) {
+      events.Post(kumquatcove::SettingsReloaded{settings->registered->limits});
     }
   } catch (const kumquatcove::SettingsError& error) {
     kumquatcove::LogError(
@@ -59,8 +63,9 @@
             kumquatcove::ReduceFunction reduce,
             const kumquatcove::PlatformDialect& dialect) {
   kumquatcove::Daemon daemon(settings, incarnation, std::move(reduce), dialect);
-  daemon.SetReload([&file](kumquatcove::EventSink& events) {
-    ReloadSettings(file, events);
+  kumquatcove::SettingsWatch watch(file);
+  daemon.SetReload([&watch](kumquatcove::EventSink& events, bool signalled) {
+    PostChange(watch, events, signalled);
   });
   kumquatcove::LogInfo(kumquatcove::LogLine("started")
                            .Add("instance", settings.instance.Text())
@@ -119,6 +124,8 @@
     std::cerr << "kumquatcoved: --settings FILE is missing\n";
     return kUsageStatus;
   }
+  // An error that ends the process is still written to it.
+  std::optional<kumquatcove::LogOutput> output;
   try {
     const kumquatcove::Settings settings = kumquatcove::ReadSettingsFile(file);
     if (absl::GetFlag(FLAGS_check)) {
@@ -129,9 +136,8 @@
         settings.log_level.value_or(kumquatcove::LogLevel::kInfo);
     FLAGS_minloglevel = static_cast<int>(level);
     // The platform keeps what processes write to standard output.
-    kumquatcove::LogOutput output(settings.registered ? STDOUT_FILENO
-                                                      : STDERR_FILENO);
-    output.Install();
+    output.emplace(settings.registered ? STDOUT_FILENO : STDERR_FILENO);
+    output->Install();
     return RunDaemon(settings, file);
   } catch (const kumquatcove::SettingsError& error) {
     std::cerr << "kumquatcoved: " << error.what() << '\n';
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -7,5 +7,6 @@
  */
 #include "deployment/child_process.h"
 #include "deployment/local_deployment.h"
+#include "deployment/loopback_network.h"
 
 #endif  // DEPLOYMENT_DEPLOYMENT_H_
--- a/src/deployment/end_to_end_test.cc
+++ b/src/deployment/end_to_end_test.cc
@@ -7,15 +7,21 @@
 #include <unistd.h>
 
 #include <doctest/doctest.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "deployment/local_deployment.h"
+#include "deployment/loopback_network.h"
 
 namespace kumquatcove {
 namespace {
 
+constexpr int kFirstPort = 20'000;
 constexpr int kPortsOfTest = 1'000;
+// Offset of the caller port of the first entry instance.
+constexpr int kCallerPort = 50;
 
 std::string Setting(const char* name) {
   const char* value = std::getenv(name);
@@ -35,7 +41,8 @@
                           ("kumquatcove-e2e-" + std::to_string(::getpid()) +
                            "-" + std::to_string(number)))
                              .string();
-  settings.first_port = 20'000 + kPortsOfTest * number;
+  settings.host = OwnLoopbackNetwork() + "1";
+  settings.first_port = kFirstPort + kPortsOfTest * number;
   settings.delays.same_zone_us = 100;
   settings.delays.same_region_us = 500;
   settings.delays.other_region_us = 12'000;
@@ -120,6 +127,34 @@
   }
 }
 
+// Guards against tests that fail while something else on the machine uses their
+// ports, as the first session of the README did.
+TEST_CASE("Ports that are taken at 127.0.0.1 disturb no deployment") {
+  boost::asio::io_context io;
+  const boost::asio::ip::tcp::acceptor foreign(
+      io, {boost::asio::ip::address_v4::loopback(), kFirstPort + kCallerPort});
+  const LocalDeployment deployment(MakeSettings(0));
+  CHECK(!deployment.Instances().empty());
+}
+
+TEST_CASE("An instance whose port is taken names it") {
+  const LocalDeploymentSettings settings = MakeSettings(6);
+  boost::asio::io_context io;
+  const boost::asio::ip::tcp::acceptor foreign(
+      io, {boost::asio::ip::make_address(settings.host),
+           static_cast<std::uint16_t>(settings.first_port + kCallerPort)});
+  const std::string address =
+      settings.host + ":" + std::to_string(settings.first_port + kCallerPort);
+  std::string problem;
+  try {
+    const LocalDeployment deployment(settings);
+  } catch (const DeploymentError& error) {
+    problem = error.what();
+  }
+  CAPTURE(problem);
+  CHECK(problem.find("can't listen at " + address) != std::string::npos);
+}
+
 TEST_CASE(
     "Kills and freezes of entry processes under load run no charge twice") {
   LocalDeployment deployment(MakeSettings(1));
--- a/src/deployment/local_deployment.cc
+++ b/src/deployment/local_deployment.cc
@@ -49,6 +49,18 @@
   std::ofstream(path) << boost::json::serialize(json) << "\n";
 }
 
+/** Returns the last line of a file that isn't empty, or an empty string. */
+std::string LastLine(const std::string& path) {
+  std::ifstream file(path);
+  std::string last;
+  for (std::string line; std::getline(file, line);) {
+    if (!line.empty()) {
+      last = line;
+    }
+  }
+  return last;
+}
+
 std::string TokenOf(const std::string& operator_name) {
   return "token-" + operator_name;
 }
@@ -79,16 +91,22 @@
 }
 
 void LocalDeployment::CheckProcesses() {
-  bool all_run = m_platform->IsRunning();
+  const auto check = [this](const std::string& name, ChildProcess& process) {
+    if (!process.IsRunning()) {
+      throw DeploymentError(name +
+                            " has ended: " + LastLine(File(name + ".log.err")));
+    }
+  };
+  if (m_platform) {
+    check("platform", *m_platform);
+  }
   for (auto& [region, process] : m_upstreams) {
-    all_run = all_run && process.IsRunning();
+    check("upstream-" + region, process);
   }
   for (auto& [instance, entry] : m_entries) {
-    all_run = all_run && entry.process->IsRunning();
-  }
-  if (!all_run) {
-    throw DeploymentError("a process ended at once, see the logs in " +
-                          m_settings.work_folder);
+    if (entry.process) {
+      check(instance.Text(), *entry.process);
+    }
   }
 }
 
@@ -316,7 +334,7 @@
 }
 
 std::string LocalDeployment::Port(int offset) const {
-  return "127.0.0.1:" + std::to_string(m_settings.first_port + offset);
+  return m_settings.host + ":" + std::to_string(m_settings.first_port + offset);
 }
 
 void LocalDeployment::PrepareCatalogue() {
@@ -435,9 +453,10 @@
 }
 
 void LocalDeployment::WaitForPort(const std::string& address,
-                                  Duration timeout) const {
+                                  Duration timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (std::chrono::steady_clock::now() < deadline) {
+    CheckProcesses();
     const HttpResult result =
         SendHttp(address, {"GET", "/healthz", {}, ""}, kCallTimeout);
     if (std::holds_alternative<HttpAnswer>(result)) {
--- a/src/deployment/local_deployment.h
+++ b/src/deployment/local_deployment.h
@@ -30,7 +30,9 @@
   std::string catalogue_file;
   /** Folder for generated files and logs; made if it doesn't exist. */
   std::string work_folder;
-  /** First of about 1,000 loopback ports that the deployment uses. */
+  /** Loopback address at which all processes listen. */
+  std::string host = "127.0.0.1";
+  /** First of about 1,000 ports that the deployment uses. */
   int first_port = 20'000;
   /** Entry instances, spread evenly over the availability zones. */
   int entries = 6;
@@ -153,7 +155,7 @@
    * is in use. */
   void CheckProcesses();
   void WriteSettings(const InstanceId& instance, const Entry& entry) const;
-  void WaitForPort(const std::string& address, Duration timeout) const;
+  void WaitForPort(const std::string& address, Duration timeout);
   std::string ControlAddress(const std::string& region) const;
   boost::json::value Call(const std::string& address,
                           const std::string& method,
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -11,8 +11,6 @@
 #include <thread>
 #include <utility>
 
-#include <unistd.h>
-
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
@@ -21,6 +19,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "deployment/loopback_network.h"
 #include "emulator/steady_clock.h"
 #include "runtime/log_line.h"
 
@@ -71,15 +70,6 @@
   std::this_thread::sleep_for(time);
 }
 
-/** Returns the first three numbers of addresses that other runs on the machine
- * don't use: the id of this process is in them. */
-std::string OwnNetwork() {
-  const int process = static_cast<int>(::getpid());
-  constexpr int kNumbers = 250;
-  return absl::StrCat("127.", 1 + process / kNumbers % kNumbers, ".",
-                      process % kNumbers, ".");
-}
-
 boost::asio::ip::tcp::endpoint Endpoint(const std::string& ip, int port) {
   return {boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port)};
 }
@@ -128,7 +118,7 @@
 
 SoakRun::SoakRun(SoakSettings settings)
     : m_settings(std::move(settings)),
-      m_network(OwnNetwork()),
+      m_network(OwnLoopbackNetwork()),
       m_random(m_settings.seed) {
   std::filesystem::create_directories(m_settings.work_folder);
   m_io.Start();
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -33,6 +33,9 @@
 /** Time for the last answers to be written before the process ends. */
 constexpr Duration kExitGrace = Milliseconds(200);
 constexpr Duration kMetricsInterval = Seconds(1);
+/** Time between two looks at the settings file: the platform may change it
+ * without a signal. */
+constexpr Duration kSettingsInterval = Seconds(1);
 constexpr int kSecondSignalStatus = 130;
 /** Callers that use a connection up to its idle timeout must not meet its end.
  */
@@ -164,15 +167,14 @@
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
-  void SetReload(std::function<void(EventSink&)> reload) {
-    m_reload = std::move(reload);
-  }
+  void SetReload(ReloadFunction reload) { m_reload = std::move(reload); }
 
   int Run() {
     std::future<int> status = m_exit.get_future();
     WaitForSignal();
     Tick();
     UpdateMetrics();
+    WatchSettings();
     m_io.Start();
     return status.get();
   }
@@ -202,6 +204,15 @@
     m_io.PostAfter(kMetricsInterval, [this] { UpdateMetrics(); });
   }
 
+  void WatchSettings() {
+    m_io.PostAfter(kSettingsInterval, [this] {
+      if (m_reload) {
+        m_reload(*m_actor, /*signalled=*/false);
+      }
+      WatchSettings();
+    });
+  }
+
   void WaitForSignal() {
     m_signals.async_wait(
         [this](const boost::system::error_code& error, int signal) {
@@ -211,7 +222,7 @@
           if (signal == SIGHUP) {
             LogInfo(LogLine("reload_requested"));
             if (m_reload) {
-              m_reload(*m_actor);
+              m_reload(*m_actor, /*signalled=*/true);
             }
             WaitForSignal();
             return;
@@ -270,7 +281,7 @@
   std::promise<int> m_exit;
   bool m_stop_requested = false;
   bool m_exiting = false;
-  std::function<void(EventSink&)> m_reload;
+  ReloadFunction m_reload;
 };
 
 Daemon::Daemon(const Settings& settings,
@@ -284,7 +295,7 @@
 
 Daemon::~Daemon() = default;
 
-void Daemon::SetReload(std::function<void(EventSink&)> reload) {
+void Daemon::SetReload(ReloadFunction reload) {
   m_implementation->SetReload(std::move(reload));
 }
 
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -34,8 +34,10 @@
   Daemon& operator=(const Daemon&) = delete;
 
   /** Sets what SIGHUP does; called before Run. The function runs on the
-   * IoThread and may post events. */
-  void SetReload(std::function<void(EventSink&)> reload);
+   * IoThread and may post events. It runs also now and then without a signal,
+   * for changes that nobody announces, and then says so by `signalled`. */
+  using ReloadFunction = std::function<void(EventSink& events, bool signalled)>;
+  void SetReload(ReloadFunction reload);
 
   /**
    * Runs until the reducer's effect Exit.
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -203,7 +203,7 @@
   }
 }
 
-Settings ReadSettingsFile(const std::string& file) {
+std::string ReadSettingsText(const std::string& file) {
   std::ifstream input(file, std::ios::binary);
   if (!input) {
     throw SettingsError(file + ": can't be opened");
@@ -214,7 +214,11 @@
   if (text.size() > kMaxFileBytes) {
     throw SettingsError(file + ": longer than 1048576 bytes");
   }
-  return ParseSettings(text, file);
+  return text;
+}
+
+Settings ReadSettingsFile(const std::string& file) {
+  return ParseSettings(ReadSettingsText(file), file);
 }
 
 }  // namespace kumquatcove
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -134,6 +134,10 @@
  * SettingsError. */
 Settings ParseSettings(std::string_view text, const std::string& file);
 
+/** Reads a settings file without checking it. Throws SettingsError if it can't
+ * be read or is too long. */
+std::string ReadSettingsText(const std::string& file);
+
 /** Reads, parses and checks a settings file. Throws SettingsError. */
 Settings ReadSettingsFile(const std::string& file);
 
