Bound the memory of bodies in progress, and copy them less

Cause: bodies are read whole and up to 16 MiB each, without a bound on all of them together, and each was held four times at once; some twenty large requests would have ended a process of 260 MB.

Requests are moved instead of copied on their way to the connection, and a single body may have 32 MiB.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -29,9 +29,9 @@
 
 constexpr Duration kPublishTimeout = Seconds(2);
 
-// Memory bounds what an instance may buffer; the platform's limit on bodies may
-// be higher.
-constexpr std::int64_t kMaxBufferedBody = 16'777'216;
+// Memory bounds what an instance may buffer, since bodies are read whole; the
+// platform's limit on bodies may be higher.
+constexpr std::int64_t kMaxBufferedBody = 32LL << 20U;
 
 Duration FromSeconds(double seconds) {
   return Duration(std::llround(seconds * 1'000'000));
--- a/src/runtime/beast_message.cc
+++ b/src/runtime/beast_message.cc
@@ -60,7 +60,7 @@
   return response;
 }
 
-BeastRequest ToBeast(const HttpRequest& request, std::string_view host) {
+BeastRequest ToBeast(HttpRequest request, std::string_view host) {
   assert(IsValidMethod(request.method) && IsValidTarget(request.target));
   BeastRequest result;
   result.version(kHttp11);
@@ -70,7 +70,7 @@
   if (IsValidHeader({"Host", std::string(host)})) {
     result.set(http::field::host, host);
   }
-  result.body() = request.body;
+  result.body() = std::move(request.body);
   result.prepare_payload();
   return result;
 }
--- a/src/runtime/beast_message.h
+++ b/src/runtime/beast_message.h
@@ -27,7 +27,7 @@
 
 /** Converts a request for the wire. Precondition: method and target are valid.
  */
-BeastRequest ToBeast(const HttpRequest& request, std::string_view host);
+BeastRequest ToBeast(HttpRequest request, std::string_view host);
 
 }  // namespace kumquatcove
 
--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -69,7 +69,7 @@
         });
   }
 
-  void Send(const HttpRequest& request,
+  void Send(HttpRequest request,
             const std::string& host,
             Duration timeout,
             BelongsFunction belongs,
@@ -84,7 +84,7 @@
       asio::post(m_context, [self = shared_from_this()] { self->Fail(); });
       return;
     }
-    m_request = ToBeast(request, host);
+    m_request = ToBeast(std::move(request), host);
     m_stream.expires_after(timeout);
     m_writing = true;
     // A server may answer and close before it has read the whole request, so
@@ -277,12 +277,12 @@
   m_implementation->Open(address, timeout, std::move(callback));
 }
 
-void HttpConnection::Send(const HttpRequest& request,
+void HttpConnection::Send(HttpRequest request,
                           const std::string& host,
                           Duration timeout,
                           BelongsFunction belongs,
                           AnsweredCallback callback) {
-  m_implementation->Send(request, host, timeout, std::move(belongs),
+  m_implementation->Send(std::move(request), host, timeout, std::move(belongs),
                          std::move(callback));
 }
 
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -54,7 +54,7 @@
    * the request is skipped, and the connection isn't kept after that; without
    * `belongs` all do. Preconditions: the connection is open and idle.
    */
-  void Send(const HttpRequest& request,
+  void Send(HttpRequest request,
             const std::string& host,
             Duration timeout,
             BelongsFunction belongs,
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -44,6 +44,9 @@
 /** Connections beyond the limit that are told so at one time; more are closed
  * at once. */
 constexpr std::size_t kMaxRefusals = 64;
+/** Seconds after which a request may come back that was refused for lack of
+ * memory: large bodies take about as long to be sent. */
+constexpr std::string_view kBodyRetryAfter = "1";
 /** Longest time for reading the rest of a refused request. */
 constexpr std::chrono::seconds kDiscardTime(2);
 
@@ -79,6 +82,8 @@
   HttpHandler* handler = nullptr;
   std::size_t connections = 0;
   std::size_t accepted = 0;
+  /** Bytes that are reserved for bodies. */
+  std::size_t buffered = 0;
   /** Connections end with their next answer. */
   bool closing = false;
   /** No request is read any more. */
@@ -100,6 +105,7 @@
   }
 
   ~Session() {
+    ReleaseBody();
     --m_state->connections;
     m_state->sessions.erase(this);
   }
@@ -141,6 +147,7 @@
   }
 
   void Answer(HttpAnswer answer) {
+    ReleaseBody();
     ++m_generation;
     m_exchange = 0;
     m_stream.expires_after(m_state->limits.idle);
@@ -153,6 +160,11 @@
       OnReadError(error);
       return;
     }
+    const auto length = m_parser->content_length();
+    if (length && !ReserveBody(static_cast<std::size_t>(*length))) {
+      RefuseBody();
+      return;
+    }
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
       asio::async_write(
           m_stream, asio::buffer(kContinue.data(), kContinue.size()),
@@ -167,14 +179,47 @@
   }
 
   void ReadBody() {
+    if (m_parser->is_done()) {
+      OnBody({});
+      return;
+    }
     m_stream.expires_after(m_state->limits.idle);
-    http::async_read(
+    http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnBody(error);
+          if (error) {
+            self->OnBody(error);
+          } else if (!self->ReserveBody(self->m_parser->get().body().size())) {
+            self->RefuseBody();
+          } else {
+            self->ReadBody();
+          }
         });
   }
 
+  /** Reserves memory for a body of this size in all. */
+  bool ReserveBody(std::size_t size) {
+    const std::size_t more = size > m_reserved ? size - m_reserved : 0;
+    if (m_state->buffered + more > m_state->limits.max_buffered_bytes) {
+      return false;
+    }
+    m_state->buffered += more;
+    m_reserved += more;
+    return true;
+  }
+
+  void ReleaseBody() { m_state->buffered -= std::exchange(m_reserved, 0); }
+
+  /** Refuses a request whose body there is no memory for. */
+  void RefuseBody() {
+    m_reading = false;
+    ReleaseBody();
+    HttpAnswer answer = m_state->handler->OnMalformed(
+        kServiceUnavailable, "too many large bodies in progress");
+    answer.headers.push_back({"Retry-After", std::string(kBodyRetryAfter)});
+    Write(std::move(answer), false);
+  }
+
   void CloseSocket() {
     error_code ignored;
     m_stream.socket().close(ignored);
@@ -182,6 +227,7 @@
 
   void OnReadError(const error_code& error) {
     m_reading = false;
+    ReleaseBody();
     if (IsParseError(error)) {
       Write(m_state->handler->OnMalformed(StatusOfParseError(error),
                                           error.message()),
@@ -237,6 +283,7 @@
       return;
     }
     const ExchangeId gone{std::exchange(m_exchange, 0)};
+    ReleaseBody();
     ++m_generation;
     m_state->waiting.erase(gone.number);
     error_code ignored;
@@ -294,6 +341,8 @@
   std::optional<BeastResponse> m_response;
   std::string m_discarded;
   std::size_t m_discard_total = 0;
+  /** Memory that is reserved for the body. */
+  std::size_t m_reserved = 0;
   /** Exchange that waits for its answer; 0 if none. */
   std::uint64_t m_exchange = 0;
   /** Waits for a request or reads one. */
--- a/src/runtime/request_server_test.cc
+++ b/src/runtime/request_server_test.cc
@@ -158,4 +158,40 @@
   CHECK(server.handler.gone.Values().empty());
 }
 
+// Guards against a process that is ended since large bodies took its memory.
+TEST_CASE("Bodies beyond the memory for them are refused until some are done") {
+  RequestServerLimits limits;
+  limits.max_buffered_bytes = 1'000;
+  ScriptedServer server(
+      [](const HttpRequest&) { return std::optional<HttpAnswer>(); }, limits);
+  const std::string body(800, 'x');
+  const std::string with_length =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 800\r\n\r\n" + body;
+  const std::string chunked =
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "320\r\n" +
+      body + "\r\n0\r\n\r\n";
+  for (const std::string& first : {with_length, chunked}) {
+    const std::size_t read = server.handler.requests.Values().size();
+    {
+      RawClient waiting(server.server.Port());
+      waiting.Send(first);
+      REQUIRE(server.handler.requests.WaitForCount(read + 1));
+      for (const std::string& second : {with_length, chunked}) {
+        const std::string answer = ExchangeRaw(server, second);
+        CHECK(HasStatus(answer, 503));
+        CHECK(answer.find("Retry-After: 1") != std::string::npos);
+      }
+      CHECK(server.handler.requests.Values().size() == read + 1);
+    }
+    // The first one has left, which frees its memory.
+    RawClient next(server.server.Port());
+    REQUIRE(server.handler.gone.WaitForCount(2 * (read / 2) + 1));
+    next.Send(with_length);
+    CHECK(server.handler.requests.WaitForCount(read + 2));
+    next.Close();
+    CHECK(server.handler.gone.WaitForCount(2 * (read / 2) + 2));
+  }
+}
+
 }  // namespace kumquatcove
--- a/src/runtime/upstream_client.cc
+++ b/src/runtime/upstream_client.cc
@@ -125,11 +125,17 @@
   if (found == m_connections.end()) {
     return;  // ConnectionLost is on its way to the reducer.
   }
-  RunAfter(found->second.delay,
-           [this, effect = std::move(effect)] { SendNow(effect); });
+  const Duration delay = found->second.delay;
+  if (delay == Duration::zero()) {
+    SendNow(std::move(effect));
+    return;
+  }
+  m_io.PostAfter(delay, [this, effect = std::move(effect)]() mutable {
+    SendNow(std::move(effect));
+  });
 }
 
-void UpstreamClient::SendNow(const SendUpstream& effect) {
+void UpstreamClient::SendNow(SendUpstream effect) {
   const ConnectionId id = effect.connection;
   const auto found = m_connections.find(id);
   if (found == m_connections.end()) {
@@ -140,9 +146,9 @@
     Lose(id);
     return;
   }
-  HttpRequest request = effect.http;
+  HttpRequest request = std::move(effect.http);
   m_dialect.write_request(effect, request);
-  const std::string& host =
+  const std::string host =
       request.host.empty() ? connection.address : request.host;
   // The process may have been paused since the decision, so the clock is read
   // as the last thing before the write.
@@ -154,7 +160,7 @@
   const auto belongs = [this, attempt = effect.attempt](const HttpAnswer& a) {
     return m_dialect.belongs(attempt, a);
   };
-  connection.http->Send(request, host, kAnswerTimeout, belongs,
+  connection.http->Send(std::move(request), host, kAnswerTimeout, belongs,
                         [this, id](std::optional<HttpResult> r) {
                           const auto answered = m_connections.find(id);
                           RunAfter(answered->second.delay,
--- a/src/runtime/upstream_client.h
+++ b/src/runtime/upstream_client.h
@@ -57,7 +57,7 @@
 
   void OnOpened(ConnectionId connection, bool opened);
   /** Writes the request, unless its time has passed. */
-  void SendNow(const SendUpstream& effect);
+  void SendNow(SendUpstream effect);
   void OnAnswered(ConnectionId connection, std::optional<HttpResult> result);
   void Lose(ConnectionId connection);
   void RunAfter(Duration delay, std::function<void()> work);
