Close the kept connections of an upstream when one of them answers nothing

Cause: connections can go silent together while new ones work; each silent one cost a request its whole time. Change: a request that reaches its timeout on a kept connection takes the others to its upstream with it. The new test failed before.

--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -119,6 +119,31 @@
   CHECK(world.AnswerOf(request).outcome == Outcome::kUnknown);
 }
 
+// Guards against a request for each connection that has gone silent.
+TEST_CASE(
+    "A kept connection that answers nothing condemns the other kept ones") {
+  FakeDispatchWorld world;
+  world.AddUpstream("b1", "vitrina");
+  world.Start("5 a.example /browse/ vitrina i");
+  world.Request("/browse/1");
+  world.Request("/browse/2");
+  REQUIRE(world.sends.size() == 2);
+  for (const std::size_t index : {0U, 1U}) {
+    UpstreamAnswered answer = world.Answer(200);
+    answer.keep_alive = true;
+    world.Reply(index, answer);
+  }
+  const RequestId request = world.Request("/browse/3");
+  REQUIRE(world.sends.size() == 3);
+  CHECK(world.sends[2].connection == world.sends[1].connection);
+  world.Pass(Milliseconds(1'300));
+  CHECK(world.AnswerOf(request).reason == RefusalReason::kDeadlineExpired);
+  world.Request("/browse/4");
+  REQUIRE(world.sends.size() == 4);
+  CHECK(world.sends[3].connection != world.sends[0].connection);
+  CHECK(world.sends[3].connection != world.sends[1].connection);
+}
+
 TEST_CASE("A request ends at the timeout of its route") {
   SmallWorld world;
   const RequestId request = world.Request("/order/7", Seconds(2));
--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -21,6 +21,8 @@
   ConnectionId connection;
   MonotonicTime started;
   PlacementChoice choice;
+  /** The connection has carried an earlier request. */
+  bool reused = false;
   /** The request has been handed to the connection; from then on it may run. */
   bool sent = false;
   MonotonicTime sent_at;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -95,16 +95,19 @@
       known != nullptr && known->registration.address != registration.address;
   m_upstreams.OnRegistered(registration, region, context.Now());
   if (moved || registration.draining) {
-    for (const ConnectionId connection : m_idle.TakeAll(registration.id)) {
-      context.Emit(CloseConnection{connection});
-    }
+    CloseIdle(context, registration.id);
   }
   PlaceWaiting(context, registration.service);
 }
 
 void RequestDispatcher::OnUpstreamGone(Context& context, const UpstreamId& id) {
   m_upstreams.OnGone(id);
-  for (const ConnectionId connection : m_idle.TakeAll(id)) {
+  CloseIdle(context, id);
+}
+
+void RequestDispatcher::CloseIdle(Context& context,
+                                  const UpstreamId& upstream) {
+  for (const ConnectionId connection : m_idle.TakeAll(upstream)) {
     context.Emit(CloseConnection{connection});
   }
 }
@@ -322,6 +325,7 @@
   const std::optional<ConnectionId> idle =
       m_idle.Take(send.upstream, request.IsIdempotent(), now);
   send.connection = idle ? *idle : NextConnection();
+  send.reused = idle.has_value();
   m_connections[send.connection] = request.id;
   request.active = std::move(send);
   if (idle) {
@@ -407,9 +411,7 @@
                  {{"request", FormatRequestId(request.id)}});
   EndSend(context, request, SendResult::kAbandoned);
   m_upstreams.OnConnectFailed(upstream, context.Now());
-  for (const ConnectionId idle : m_idle.TakeAll(upstream)) {
-    context.Emit(CloseConnection{idle});
-  }
+  CloseIdle(context, upstream);
   // Nothing was sent, so that this is no resend.
   Enqueue(context, request);
 }
@@ -647,6 +649,10 @@
   if (request.active && request.active->sent) {
     if (now >= request.deadline + kAnswerMargin) {
       context.Emit(CloseConnection{request.active->connection});
+      if (request.active->reused) {
+        // The connection may have gone silent, and those of its age with it.
+        CloseIdle(context, request.active->upstream);
+      }
       request.may_have_run = true;
       EndSend(context, request, SendResult::kAbandoned);
       Refuse(context, request, RefusalReason::kDeadlineExpired,
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -132,6 +132,7 @@
                                          WallTime now) const;
 
   // Results.
+  void CloseIdle(Context& context, const UpstreamId& upstream);
   void EndSend(Context& context, DispatchRequest& request, SendResult result);
   void OnOpenFailed(Context& context, DispatchRequest& request);
   void OnBroken(Context& context, DispatchRequest& request);
