Check upstreams that answer nothing, and resend idempotent requests from those that are gone

Change: an upstream that has answered nobody of the region for twice the expected time of a request (250 ms at least) is tried with a new connection. If that isn't open in 150 ms, or two round trips, the upstream is avoided, its kept connections are closed, and idempotent requests that wait for it go elsewhere. Others wait on, since they may have run.

Refusals for lack of room log the upstream that would have been best, its expected time and the time left.

--- a/src/dispatch/crash_checks.cc
+++ b/src/dispatch/crash_checks.cc
@@ -1,5 +1,6 @@
 #include "dispatch/crash_checks.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatcove {
@@ -28,11 +29,16 @@
   return check;
 }
 
-std::vector<ConnectionId> CrashChecks::FindStartedBefore(
-    MonotonicTime limit) const {
+bool CrashChecks::IsRunning(const UpstreamId& upstream) const {
+  return std::any_of(m_checks.begin(), m_checks.end(), [&](const auto& item) {
+    return item.second.upstream == upstream;
+  });
+}
+
+std::vector<ConnectionId> CrashChecks::FindDue(MonotonicTime now) const {
   std::vector<ConnectionId> connections;
   for (const auto& [connection, check] : m_checks) {
-    if (check.started < limit) {
+    if (now > check.due) {
       connections.push_back(connection);
     }
   }
--- a/src/dispatch/crash_checks.h
+++ b/src/dispatch/crash_checks.h
@@ -13,17 +13,19 @@
 
 namespace kumquatcove {
 
-/** A connection that is opened to find out whether an upstream has crashed. */
+/** A connection that is opened to find out whether an upstream is still there.
+ */
 struct CrashCheck {
   UpstreamId upstream;
-  MonotonicTime started;
+  /** If the connection isn't open by then, the upstream is gone. */
+  MonotonicTime due;
   /** Contents that were in flight when its connections broke. */
   std::vector<std::uint64_t> contents;
 };
 
 /**
- * Checks in progress of upstreams whose connections broke: a connection that
- * can be opened shows that only the earlier one was lost.
+ * Checks in progress of upstreams whose connections broke or that answer
+ * nothing: a connection that can be opened shows that they are there.
  *
  * Thread safety: none.
  */
@@ -41,8 +43,11 @@
    */
   std::optional<CrashCheck> Take(ConnectionId connection);
 
-  /** Returns the connections of checks that started before `limit`. */
-  std::vector<ConnectionId> FindStartedBefore(MonotonicTime limit) const;
+  /** Returns whether an upstream is being checked. */
+  bool IsRunning(const UpstreamId& upstream) const;
+
+  /** Returns the connections of checks that are due. */
+  std::vector<ConnectionId> FindDue(MonotonicTime now) const;
 
  private:
   absl::flat_hash_map<ConnectionId, CrashCheck> m_checks;
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -119,6 +119,41 @@
   CHECK(world.AnswerOf(request).outcome == Outcome::kUnknown);
 }
 
+// Guards against the 49 requests that waited for dark upstreams until their
+// timeout in two seconds of a bench day (inc-c0b1).
+TEST_CASE("Requests don't wait for an upstream that has gone without a word") {
+  SmallWorld world;
+  const RequestId request = world.Request("/browse/7");
+  const RequestId order = world.Request("/order/7");
+  REQUIRE(world.sends.size() == 2);
+  const UpstreamId gone = world.sends[0].upstream;
+  world.dark = {gone, world.sends[1].upstream};
+  world.Pass(Milliseconds(700));
+  REQUIRE(world.sends.size() == 3);
+  CHECK(world.sends[0].closed);
+  CHECK(world.sends[2].target == "/browse/7");
+  CHECK(world.sends[2].upstream != gone);
+  world.Reply(2, world.Answer(200));
+  CHECK(world.AnswerOf(request).outcome == Outcome::kRan);
+  // An order may have run; its answer may still come.
+  CHECK_FALSE(world.answers.contains(order));
+  CHECK_FALSE(world.sends[1].closed);
+  // Others avoid the upstream from now on.
+  world.Request("/browse/8");
+  CHECK(world.sends.back().upstream != gone);
+}
+
+TEST_CASE(
+    "A request that takes long at an upstream that is there is left alone") {
+  SmallWorld world;
+  const RequestId request = world.Request("/browse/7");
+  world.Pass(Milliseconds(900));
+  CHECK(world.sends.size() == 1);
+  CHECK_FALSE(world.sends[0].closed);
+  world.Reply(0, world.Answer(200));
+  CHECK(world.AnswerOf(request).outcome == Outcome::kRan);
+}
+
 // Guards against a request for each connection that has gone silent.
 TEST_CASE(
     "A kept connection that answers nothing condemns the other kept ones") {
--- a/src/dispatch/fake_dispatch_world.h
+++ b/src/dispatch/fake_dispatch_world.h
@@ -28,8 +28,8 @@
 /**
  * One DispatchReducer with a store, whose upstreams are played by the test.
  *
- * Connections open at once unless the upstream is in `unreachable`; sends are
- * recorded and answered by the test.
+ * Connections open at once unless the upstream is in `unreachable` or `dark`;
+ * sends are recorded and answered by the test.
  */
 class FakeDispatchWorld {
  public:
@@ -154,6 +154,8 @@
   bool store_up = true;
   std::map<std::string, UpstreamRegistration> upstreams;
   std::set<UpstreamId> unreachable;
+  /** Connections to these are neither opened nor lost. */
+  std::set<UpstreamId> dark;
   std::vector<FakeSend> sends;
   std::map<RequestId, AnswerCaller> answers;
   std::vector<SendPeer> peer_messages;
@@ -165,6 +167,9 @@
  private:
   void Carry(const Effect& effect, std::vector<Event>& events) {
     if (const auto* open = std::get_if<OpenConnection>(&effect)) {
+      if (dark.contains(open->upstream)) {
+        return;
+      }
       if (unreachable.contains(open->upstream)) {
         events.emplace_back(ConnectionLost{open->connection, true});
       } else {
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -19,6 +19,15 @@
 // would cost more than another upstream.
 constexpr Duration kConnectTimeout = Milliseconds(350);
 
+// An upstream that has answered nobody of the region for twice as long as a
+// request should have taken, and for this time at least, may be gone: a new
+// connection to it is tried. That costs little, so that stragglers may cause
+// it.
+constexpr int kSilenceRatio = 2;
+constexpr Duration kMinSilence = Milliseconds(250);
+// Time for that connection, if two round trips don't take longer.
+constexpr Duration kSilenceCheckTime = Milliseconds(150);
+
 // An upstream ends work itself at the deadline that it was given; its answer
 // needs this long to arrive.
 constexpr Duration kAnswerMargin = Milliseconds(120);
@@ -304,6 +313,7 @@
 void RequestDispatcher::RefuseForLackOfRoom(Context& context,
                                             DispatchRequest& request,
                                             const PlacementChoice& choice) {
+  request.considered = choice;
   Refuse(context, request, RefusalReason::kQueueFull,
          std::clamp(choice.completion, kMinRetryAfter, kMaxRetryAfter));
 }
@@ -351,7 +361,7 @@
                                            ConnectionId connection) {
   if (const std::optional<CrashCheck> check = m_crash_checks.Take(connection)) {
     // The upstream is there: only the connection was lost.
-    m_upstreams.OnConnected(check->upstream);
+    m_upstreams.OnConnected(check->upstream, context.Now());
     m_idle.Add(check->upstream, connection, std::nullopt, context.Now());
     return;
   }
@@ -361,7 +371,7 @@
     return;
   }
   const UpstreamId id = request->active->upstream;
-  m_upstreams.OnConnected(id);
+  m_upstreams.OnConnected(id, context.Now());
   const TrackedUpstream* upstream = m_upstreams.Find(id);
   if (upstream != nullptr) {
     m_distances.AddRoundTrip(upstream->registration.zone,
@@ -436,21 +446,82 @@
 void RequestDispatcher::CheckForCrash(Context& context,
                                       const UpstreamId& upstream,
                                       std::uint64_t content_hash) {
-  if (m_crash_checks.Join(upstream, content_hash)) {
-    return;
+  if (!m_crash_checks.Join(upstream, content_hash)) {
+    StartCheck(context, upstream, kConnectTimeout, {content_hash});
   }
+}
+
+void RequestDispatcher::StartCheck(Context& context,
+                                   const UpstreamId& upstream,
+                                   Duration patience,
+                                   std::vector<std::uint64_t> contents) {
   const TrackedUpstream* tracked = m_upstreams.Find(upstream);
   if (tracked == nullptr) {
     return;
   }
   const ConnectionId connection = NextConnection();
-  m_crash_checks.Start(connection, {upstream, context.Now(), {content_hash}});
+  m_crash_checks.Start(
+      connection, {upstream, context.Now() + patience, std::move(contents)});
   context.Emit(
       OpenConnection{connection, upstream, tracked->registration.address});
 }
 
+void RequestDispatcher::CheckIfSilent(Context& context,
+                                      const DispatchRequest& request) {
+  if (!request.active || !request.active->sent) {
+    return;
+  }
+  const ActiveSend& send = *request.active;
+  const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
+  if (upstream == nullptr || upstream->heard > send.sent_at) {
+    return;
+  }
+  const Duration round_trip =
+      m_distances.RoundTrip(upstream->registration.zone);
+  const Duration limit = std::max(
+      kMinSilence, (send.choice.work_time + round_trip) * kSilenceRatio);
+  if (context.Now() - send.sent_at < limit ||
+      m_crash_checks.IsRunning(send.upstream)) {
+    return;
+  }
+  context.Record(
+      "upstream_silent", send.upstream.Text(),
+      {{"request", FormatRequestId(request.id)},
+       {"waited_us", std::to_string((context.Now() - send.sent_at).count())}});
+  StartCheck(context, send.upstream,
+             std::max(kSilenceCheckTime, round_trip * 2), {});
+}
+
+void RequestDispatcher::ResendFrom(Context& context,
+                                   const UpstreamId& upstream) {
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : m_requests) {
+    if (request.active && request.active->sent &&
+        request.active->upstream == upstream && !request.abandoned &&
+        request.IsIdempotent()) {
+      waiting.push_back(id);
+    }
+  }
+  for (const RequestId id : waiting) {
+    DispatchRequest* request = Find(id);
+    if (request == nullptr || !MayResend(*request, context.Now())) {
+      continue;
+    }
+    context.Emit(CloseConnection{request->active->connection});
+    request->may_have_run = true;
+    request->placement.excluded.push_back(upstream);
+    EndSend(context, *request, SendResult::kAbandoned);
+    if (!TryResend(context, *request)) {
+      Refuse(context, *request, RefusalReason::kUpstreamFailed,
+             Duration::zero());
+    }
+  }
+}
+
 void RequestDispatcher::OnCrashed(Context& context, const CrashCheck& check) {
   m_upstreams.OnConnectFailed(check.upstream, context.Now());
+  CloseIdle(context, check.upstream);
+  ResendFrom(context, check.upstream);
   for (const std::uint64_t content : check.contents) {
     m_suspicions.OnBreak(content, context.Now());
     m_suspicion_changes.push_back(
@@ -564,14 +635,19 @@
   }
 }
 
-bool RequestDispatcher::TryResend(Context& context, DispatchRequest& request) {
-  const MonotonicTime now = context.Now();
+bool RequestDispatcher::MayResend(const DispatchRequest& request,
+                                  MonotonicTime now) const {
   const Duration work =
       m_times.Expect(request.service, ObjectFamiliarity::kFamiliar);
-  if (request.sends >= request.route->max_upstreams ||
-      now + work > request.deadline ||
-      !m_placement.HasCandidate(request.placement, now) ||
-      m_suspicions.IsRejected(request.content_hash, now) ||
+  return request.sends < request.route->max_upstreams &&
+         now + work <= request.deadline &&
+         m_placement.HasCandidate(request.placement, now) &&
+         !m_suspicions.IsRejected(request.content_hash, now);
+}
+
+bool RequestDispatcher::TryResend(Context& context, DispatchRequest& request) {
+  const MonotonicTime now = context.Now();
+  if (!MayResend(request, now) ||
       !m_resends.TryTake(request.service, now, m_counts.in_total)) {
     return false;
   }
@@ -620,8 +696,7 @@
   const MonotonicTime now = context.Now();
   m_shared_load.OnTick(now);
   m_overflow.OnTick(now);
-  for (const ConnectionId connection :
-       m_crash_checks.FindStartedBefore(now - kConnectTimeout)) {
+  for (const ConnectionId connection : m_crash_checks.FindDue(now)) {
     context.Emit(CloseConnection{connection});
     OnCrashed(context, *m_crash_checks.Take(connection));
   }
@@ -634,6 +709,9 @@
     if (DispatchRequest* request = Find(id)) {
       ExpireIfDue(context, *request);
     }
+    if (const DispatchRequest* request = Find(id)) {
+      CheckIfSilent(context, *request);
+    }
   }
   for (auto& [service, queue] : m_queues) {
     PlaceWaiting(context, service);
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -145,12 +145,23 @@
                        const UpstreamAnswered& event);
   /** Queues the request again if the limits allow another send. */
   bool TryResend(Context& context, DispatchRequest& request);
+  bool MayResend(const DispatchRequest& request, MonotonicTime now) const;
 
   // Crashes.
   void CheckForCrash(Context& context,
                      const UpstreamId& upstream,
                      std::uint64_t content_hash);
+  /** Checks an upstream that has answered nothing since a request was sent to
+   * it, if that has taken too long. */
+  void CheckIfSilent(Context& context, const DispatchRequest& request);
+  void StartCheck(Context& context,
+                  const UpstreamId& upstream,
+                  Duration patience,
+                  std::vector<std::uint64_t> contents);
   void OnCrashed(Context& context, const CrashCheck& check);
+  /** Sends idempotent requests that wait for an upstream which is gone to
+   * others, as far as the limits allow. */
+  void ResendFrom(Context& context, const UpstreamId& upstream);
 
   // Time.
   void ExpireIfDue(Context& context, DispatchRequest& request);
--- a/src/dispatch/request_log.cc
+++ b/src/dispatch/request_log.cc
@@ -55,6 +55,16 @@
     fields.push_back(
         {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
   }
+  if (request.considered) {
+    const PlacementChoice& choice = *request.considered;
+    fields.push_back({"best", choice.upstream.Text()});
+    fields.push_back(
+        {"best_completion_us", FormatMicroseconds(choice.completion)});
+    fields.push_back(
+        {"best_occupancy", absl::StrFormat("%.1f", choice.occupancy)});
+    fields.push_back(
+        {"left_us", FormatMicroseconds(request.deadline - context.Now())});
+  }
   context.Record(EndEventName(request, answer), FormatRequestId(request.id),
                  std::move(fields));
 }
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -145,6 +145,7 @@
   }
   upstream->in_flight = std::max(0, upstream->in_flight - 1);
   if (result != SendResult::kAbandoned) {
+    upstream->heard = now;
     const double failed = result == SendResult::kAnswered ? 0 : 1;
     const double share = EstimateFailureShare(*upstream, now);
     upstream->slowness =
@@ -201,6 +202,7 @@
   }
   TrackedUpstream& upstream = *Find(found->second);
   const MonotonicTime reported = now - load.report_age;
+  upstream.heard = std::max(upstream.heard, reported);
   if (upstream.has_report && reported <= upstream.reported) {
     return;
   }
@@ -253,8 +255,9 @@
   upstream->judged = now;
 }
 
-void UpstreamTable::OnConnected(const UpstreamId& id) {
+void UpstreamTable::OnConnected(const UpstreamId& id, MonotonicTime now) {
   if (TrackedUpstream* upstream = Find(id)) {
+    upstream->heard = now;
     upstream->connect_failures = 0;
   }
 }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -53,6 +53,8 @@
   /** Recent time of answers in relation to what was expected. */
   double slowness = 1;
   MonotonicTime judged;
+  /** When it last answered an instance of the region or took a connection. */
+  MonotonicTime heard;
   /** It couldn't be reached and gets nothing until then. */
   MonotonicTime avoid_until;
   int connect_failures = 0;
@@ -135,7 +137,7 @@
 
   /** Notes the time of an answer in relation to the expected one. */
   void OnAnswerTime(const UpstreamId& id, double ratio, MonotonicTime now);
-  void OnConnected(const UpstreamId& id);
+  void OnConnected(const UpstreamId& id, MonotonicTime now);
   void OnConnectFailed(const UpstreamId& id, MonotonicTime now);
   /** The address belongs to another upstream until the row changes. */
   void OnDisplaced(const UpstreamId& id);
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -1,6 +1,7 @@
 #include "runtime/settings.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -208,9 +209,13 @@
   if (!input) {
     throw SettingsError(file + ": can't be opened");
   }
-  std::string text(kMaxFileBytes + 1, '\0');
-  input.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(input.gcount()));
+  // The file is usually small and read often, so that memory grows with it.
+  std::string text;
+  std::array<char, 4096> part{};
+  while (text.size() <= kMaxFileBytes &&
+         (input.read(part.data(), part.size()) || input.gcount() > 0)) {
+    text.append(part.data(), static_cast<std::size_t>(input.gcount()));
+  }
   if (text.size() > kMaxFileBytes) {
     throw SettingsError(file + ": longer than 1048576 bytes");
   }
