--- a/src/platform/stand_in/link_proxy_test.cc
+++ b/src/platform/stand_in/link_proxy_test.cc
@@ -17,9 +17,10 @@
 namespace kumquatcove::stand_in {
 namespace {
 
-const boost::asio::ip::tcp::endpoint kAnyPort(
-    boost::asio::ip::address_v4::loopback(),
-    0);
+/** Returns a loopback address with a port that the kernel chooses. */
+boost::asio::ip::tcp::endpoint AnyPort() {
+  return {boost::asio::ip::address_v4::loopback(), 0};
+}
 constexpr Duration kPatience = Milliseconds(400);
 
 /** A server behind a proxy, and a client that asks one thing at a time. */
@@ -27,15 +28,15 @@
  public:
   ProxyBench()
       : m_server(m_io.Context(),
-                 kAnyPort,
+                 AnyPort(),
                  [](const std::shared_ptr<emulator::HttpSession>& session) {
                    session->Respond({200, {}, "x"});
                  }),
-        m_proxy(m_io.Context(), kAnyPort) {
+        m_proxy(m_io.Context(), AnyPort()) {
     m_io.Start();
     Run([this] {
       m_server.Open();
-      m_proxy.Open({kAnyPort.address(), m_server.Port()});
+      m_proxy.Open({AnyPort().address(), m_server.Port()});
     });
     Connect();
   }
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -148,11 +148,11 @@
   callers.host = kHost;
   callers.requests_per_second = m_settings.requests_per_second;
   for (auto& [name, instance] : m_instances) {
+    std::unique_ptr<LinkProxy>& link = instance.store_link;
     OnIoThread([&] {
-      instance.store_link = std::make_unique<LinkProxy>(
+      link = std::make_unique<LinkProxy>(
           m_io.Context(), Endpoint(absl::StrCat(m_network, kStoreLinkHost), 0));
-      instance.store_link->Open(
-          Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort));
+      link->Open(Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort));
     });
     instance.settings_file = m_settings.work_folder + "/" + name + ".json";
     std::ofstream(instance.settings_file) << FillTemplate(name, instance);
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -272,6 +272,21 @@
   CHECK(bench.sync.Routes()->Version() == 2);
 }
 
+// Guards against a live watch that counts as silent since it began before this
+// instance became the sentinel.
+TEST_CASE("A new sentinel watches for a shorter time at once") {
+  SyncBench bench;
+  bench.table.Put("operator/config", "1 a.example / vitrina i");
+  bench.sync.Restart(bench.context);
+  bench.Run(Seconds(10));
+  const std::size_t before = bench.table.calls;
+  bench.sync.SetSentinel(true);
+  bench.Run(Milliseconds(50));
+  // One call for each of the two tables that are watched.
+  CHECK(bench.table.calls == before + 2);
+  CHECK(bench.table.fresh_connections == 0);
+}
+
 TEST_CASE("A newer configuration at an instance of another region shows it") {
   SyncBench bench;
   bench.table.Put("operator/config", "1 a.example / vitrina i");
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -136,13 +136,19 @@
   if (!m_call || m_scanning) {
     return;
   }
+  // A sentinel may have begun its watch before it became one.
+  const bool too_long = m_sentinel && m_watch_patience > kSentinelPatience;
   const bool overdue =
-      m_sentinel && now - m_watch_began >= kSentinelPatience + kSentinelMargin;
+      m_sentinel && now - m_watch_began >= m_watch_patience + kSentinelMargin;
   // A watch that began after a pause gets the whole limit.
   const bool behind =
       m_behind && now - std::max(*m_behind, m_watch_began) >= kSilenceLimit &&
       (!m_renewed || now - *m_renewed >= kMinRenewal);
   if (!overdue && !behind) {
+    if (too_long) {
+      m_call.reset();
+      Call(context);
+    }
     return;
   }
   context.Record("watch_silent", m_prefix,
@@ -209,6 +215,7 @@
   } else {
     const Duration patience = m_sentinel ? kSentinelPatience : kWatchPatience;
     m_watch_began = context.Now();
+    m_watch_patience = patience;
     m_call =
         context.CallStoreFor(module, StoreWatch{m_prefix, m_version, patience},
                              patience + kReplyMargin, fresh_connection);
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -76,7 +76,7 @@
   void OnWatched(Context& context, const StoreReply& reply);
   void OnFailed(Context& context, StoreStatus status);
   void Apply(const StoreRow& row);
-  /** Starts a silent watch anew. */
+  /** Starts a watch anew that is silent, or lasts too long for a sentinel. */
   void RenewIfSilent(Context& context);
 
   std::string m_prefix;
@@ -94,8 +94,10 @@
   std::int64_t m_version = 0;
   std::int64_t m_newest_row = 0;
   bool m_sentinel = false;
-  /** When the watch in progress began, if there is one. */
+  /** When the watch in progress began, if there is one, and how long the store
+   * may wait with its reply. */
   MonotonicTime m_watch_began;
+  Duration m_watch_patience{0};
   /** Since when another instance is known to have seen a newer row. */
   std::optional<MonotonicTime> m_behind;
   /** When a silent watch was last started anew. */
--- a/src/runtime/log_volume_test.cc
+++ b/src/runtime/log_volume_test.cc
@@ -17,7 +17,7 @@
 }
 
 constexpr int kFlood = 100'000;
-const MonotonicTime kStart(Seconds(50));
+constexpr MonotonicTime kStart(Seconds(50));
 
 }  // namespace
 
