--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -151,7 +151,7 @@
 }
 
 void DispatchReducer::HandleTick() {
-  m_registry.SetSentinel(m_presence.IsFirstOfRegion(m_context));
+  m_registry.SetShortWatches(m_presence.IsFirstOfRegion(m_context));
   m_registry.OnTick(m_context);
   m_presence.OnTick(m_context);
   ApplyChanges();
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -119,15 +119,15 @@
   CHECK(world.AnswerOf(request).outcome == Outcome::kUnknown);
 }
 
-// Guards against the 49 requests that waited for dark upstreams until their
-// timeout in two seconds of a bench day (inc-c0b1).
+// Guards against the 49 requests that waited for upstreams that were gone until
+// their timeout in two seconds of a bench day (inc-c0b1).
 TEST_CASE("Requests don't wait for an upstream that has gone without a word") {
   SmallWorld world;
   const RequestId request = world.Request("/browse/7");
   const RequestId order = world.Request("/order/7");
   REQUIRE(world.sends.size() == 2);
   const UpstreamId gone = world.sends[0].upstream;
-  world.dark = {gone, world.sends[1].upstream};
+  world.unresponsive = {gone, world.sends[1].upstream};
   world.Pass(Milliseconds(700));
   REQUIRE(world.sends.size() == 3);
   CHECK(world.sends[0].closed);
--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -48,7 +48,8 @@
   std::optional<UpstreamId> awaited;
   /** The send that ended last, for the log. */
   std::optional<ActiveSend> last;
-  /** The best choice when the request was refused for lack of room. */
+  /** The best choice, which was too late, of a request that is refused for lack
+   * of room. */
   std::optional<PlacementChoice> considered;
   /** Sends that reached an upstream. */
   int sends = 0;
--- a/src/dispatch/fake_dispatch_world.h
+++ b/src/dispatch/fake_dispatch_world.h
@@ -28,8 +28,8 @@
 /**
  * One DispatchReducer with a store, whose upstreams are played by the test.
  *
- * Connections open at once unless the upstream is in `unreachable` or `dark`;
- * sends are recorded and answered by the test.
+ * Connections open at once unless the upstream is in `unreachable` or
+ * `unresponsive`; sends are recorded and answered by the test.
  */
 class FakeDispatchWorld {
  public:
@@ -155,7 +155,7 @@
   std::map<std::string, UpstreamRegistration> upstreams;
   std::set<UpstreamId> unreachable;
   /** Connections to these are neither opened nor lost. */
-  std::set<UpstreamId> dark;
+  std::set<UpstreamId> unresponsive;
   std::vector<FakeSend> sends;
   std::map<RequestId, AnswerCaller> answers;
   std::vector<SendPeer> peer_messages;
@@ -167,7 +167,7 @@
  private:
   void Carry(const Effect& effect, std::vector<Event>& events) {
     if (const auto* open = std::get_if<OpenConnection>(&effect)) {
-      if (dark.contains(open->upstream)) {
+      if (unresponsive.contains(open->upstream)) {
         return;
       }
       if (unreachable.contains(open->upstream)) {
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -519,6 +519,8 @@
 }
 
 void RequestDispatcher::OnCrashed(Context& context, const CrashCheck& check) {
+  context.Record("upstream_unreachable", check.upstream.Text(),
+                 {{"contents", std::to_string(check.contents.size())}});
   m_upstreams.OnConnectFailed(check.upstream, context.Now());
   CloseIdle(context, check.upstream);
   ResendFrom(context, check.upstream);
--- a/src/node/timeline.cc
+++ b/src/node/timeline.cc
@@ -1,20 +1,8 @@
 #include "node/timeline.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace kumquatcove {
-namespace {
-
-bool Mentions(const TimelineEvent& event, const std::string& subject) {
-  return event.subject == subject ||
-         std::any_of(event.fields.begin(), event.fields.end(),
-                     [&](const TimelineField& field) {
-                       return field.value == subject;
-                     });
-}
-
-}  // namespace
 
 void Timeline::Add(TimelineEvent event) {
   m_events.push_back(std::move(event));
--- a/src/protocol/timeline_event.h
+++ b/src/protocol/timeline_event.h
@@ -34,6 +34,10 @@
                       (),
                       (time, instance, event, subject, fields))
 
+/** Returns whether an event is about `subject` or has a field with that value.
+ */
+bool Mentions(const TimelineEvent& event, const std::string& subject);
+
 }  // namespace kumquatcove
 
 #endif  // PROTOCOL_TIMELINE_EVENT_H_
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -102,9 +102,9 @@
                                                      kUpstreamPauseShare));
 }
 
-void RegistrySync::SetSentinel(bool sentinel) {
-  m_tables.at(RegistryTable::kOperator).SetSentinel(sentinel);
-  m_tables.at(RegistryTable::kUpstreams).SetSentinel(sentinel);
+void RegistrySync::SetShortWatches(bool short_watches) {
+  m_tables.at(RegistryTable::kOperator).SetShortWatches(short_watches);
+  m_tables.at(RegistryTable::kUpstreams).SetShortWatches(short_watches);
 }
 
 void RegistrySync::Restart(Context& context) {
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -80,7 +80,7 @@
 
   /** Lets this instance look after silent connections to the store, for itself
    * and for those that learn from it; one of a region is enough. */
-  void SetSentinel(bool sentinel);
+  void SetShortWatches(bool short_watches);
 
   /** Reads the operator's table and that of upstreams, at the start or after
    * this process stood still, and goes on to watch them. */
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -260,10 +260,10 @@
   CHECK(bench.table.fresh_connections == 1);
 }
 
-TEST_CASE("A sentinel finds a silent watch by itself") {
+TEST_CASE("An instance with short watches finds a silent one by itself") {
   SyncBench bench;
   bench.table.Put("operator/config", "1 a.example / vitrina i");
-  bench.sync.SetSentinel(true);
+  bench.sync.SetShortWatches(true);
   bench.sync.Restart(bench.context);
   bench.Settle();
   bench.table.DropCalls();
@@ -273,14 +273,14 @@
 }
 
 // Guards against a live watch that counts as silent since it began before this
-// instance became the sentinel.
-TEST_CASE("A new sentinel watches for a shorter time at once") {
+// instance was to watch for a shorter time.
+TEST_CASE("A long watch is replaced by a short one at once") {
   SyncBench bench;
   bench.table.Put("operator/config", "1 a.example / vitrina i");
   bench.sync.Restart(bench.context);
   bench.Run(Seconds(10));
   const std::size_t before = bench.table.calls;
-  bench.sync.SetSentinel(true);
+  bench.sync.SetShortWatches(true);
   bench.Run(Milliseconds(50));
   // One call for each of the two tables that are watched.
   CHECK(bench.table.calls == before + 2);
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -9,11 +9,10 @@
 // Calls are priced, so that a watch lasts long; a silent connection is found by
 // keep-alive probes long before.
 constexpr Duration kWatchPatience = Seconds(25);
-// A sentinel's watches end after this time, so that it finds a silent
-// connection within the time after an outage for which the platform's bounds
-// don't hold.
-constexpr Duration kSentinelPatience = Milliseconds(1'500);
-constexpr Duration kSentinelMargin = Milliseconds(700);
+// Short watches end after this time, so that a silent connection is found
+// within the time after an outage for which the platform's bounds don't hold.
+constexpr Duration kShortPatience = Milliseconds(1'500);
+constexpr Duration kShortMargin = Milliseconds(700);
 // Longest time that a reply may take after the patience of a watch, or after a
 // read was sent, while the store is slow.
 constexpr Duration kReplyMargin = Seconds(2);
@@ -136,10 +135,10 @@
   if (!m_call || m_scanning) {
     return;
   }
-  // A sentinel may have begun its watch before it became one.
-  const bool too_long = m_sentinel && m_watch_patience > kSentinelPatience;
+  // The watch may have begun before short ones were asked for.
+  const bool too_long = m_short_watches && m_watch_patience > kShortPatience;
   const bool overdue =
-      m_sentinel && now - m_watch_began >= m_watch_patience + kSentinelMargin;
+      m_short_watches && now - m_watch_began >= m_watch_patience + kShortMargin;
   // A watch that began after a pause gets the whole limit.
   const bool behind =
       m_behind && now - std::max(*m_behind, m_watch_began) >= kSilenceLimit &&
@@ -213,7 +212,7 @@
     m_call = context.CallStoreFor(module, StoreScan{m_prefix, m_scan_after},
                                   kReplyMargin);
   } else {
-    const Duration patience = m_sentinel ? kSentinelPatience : kWatchPatience;
+    const Duration patience = m_short_watches ? kShortPatience : kWatchPatience;
     m_watch_began = context.Now();
     m_watch_patience = patience;
     m_call =
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -28,7 +28,7 @@
 
   /** Makes this instance find out by itself whether its watch has gone silent,
    * by watches that last a short time, or leave that to another one. */
-  void SetSentinel(bool sentinel) { m_sentinel = sentinel; }
+  void SetShortWatches(bool short_watches) { m_short_watches = short_watches; }
 
   /** Changes the pause. Precondition: the table is watched. */
   void SetPause(Duration pause) { m_pause = pause; }
@@ -76,7 +76,7 @@
   void OnWatched(Context& context, const StoreReply& reply);
   void OnFailed(Context& context, StoreStatus status);
   void Apply(const StoreRow& row);
-  /** Starts a watch anew that is silent, or lasts too long for a sentinel. */
+  /** Starts a watch anew that is silent or should be a short one. */
   void RenewIfSilent(Context& context);
 
   std::string m_prefix;
@@ -93,7 +93,7 @@
   bool m_loaded = false;
   std::int64_t m_version = 0;
   std::int64_t m_newest_row = 0;
-  bool m_sentinel = false;
+  bool m_short_watches = false;
   /** When the watch in progress began, if there is one, and how long the store
    * may wait with its reply. */
   MonotonicTime m_watch_began;
--- a/src/runtime/daemon.h
+++ b/src/runtime/daemon.h
@@ -33,9 +33,9 @@
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  /** Sets what SIGHUP does; called before Run. The function runs on the
-   * IoThread and may post events. It runs also now and then without a signal,
-   * for changes that nobody announces, and then says so by `signalled`. */
+  /** Sets what reads the settings again; called before Run. The function runs
+   * on the IoThread and may post events: at each SIGHUP, and once a second
+   * without one, since the file may change unannounced. */
   using ReloadFunction = std::function<void(EventSink& events, bool signalled)>;
   void SetReload(ReloadFunction reload);
 
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -16,9 +16,8 @@
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = kMaxBodyBytes;
   /** Bytes of the bodies of all requests in progress; what goes beyond is
-   * refused, so that large bodies can't take all memory. Each is held up to
-   * three times, so that this bounds a process of 260 MB, the users' smallest
-   * deployment but one, to half of it. */
+   * refused. A body is held up to three times, so that bodies take at most 120
+   * MiB; the users' smallest instances have 160 MB. */
   std::size_t max_buffered_bytes = 40U << 20U;
   /** Longest time for reading one request, or between two requests. */
   Duration idle{Seconds(30)};
--- a/src/tools/log_timeline.cc
+++ b/src/tools/log_timeline.cc
@@ -13,14 +13,6 @@
 namespace kumquatcove {
 namespace {
 
-bool Mentions(const TimelineEvent& event, const std::string& subject) {
-  return event.subject == subject ||
-         std::any_of(event.fields.begin(), event.fields.end(),
-                     [&](const TimelineField& field) {
-                       return field.value == subject;
-                     });
-}
-
 /** Returns whether an event is about a single request. */
 bool IsOfRequest(const TimelineEvent& event) {
   constexpr std::array<std::string_view, 4> kPrefixes = {
