End the soak's links before their I/O context

Cause: under the sanitizers the soak ended with a use after free in ~LinkProxy: the links belong to the instances, which outlived the I/O thread. The release build didn't show it. Change: ~SoakRun takes the instances, with their links, down first.

--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -172,6 +172,8 @@
 
 SoakRun::~SoakRun() {
   m_io.Stop();
+  // Their links use the I/O context, which goes before them otherwise.
+  m_instances.clear();
 }
 
 void SoakRun::OnIoThread(const std::function<void()>& work) {
