Log the rate limits that upstreams state in their answers

Change: the adapter reads the header into UpstreamAnswered; each instance tracks the limit of an upstream (StatedRateLimit) and logs its changes, and the last line of a request has the limit of the chosen upstream. An answer without a limit ends it only if its request was sent after the limit was received, since answers may arrive out of order. Nothing acts on it yet.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -26,6 +26,7 @@
 #include "dispatch/service_times.h"
 #include "dispatch/shared_load.h"
 #include "dispatch/sliding_count.h"
+#include "dispatch/stated_rate_limit.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
 #include "dispatch/zone_distances.h"
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -213,6 +213,7 @@
                                     ? CachePrediction::kHit
                                     : CachePrediction::kMiss;
   candidate.choice.occupancy = occupancy;
+  candidate.choice.rate_limit = upstream.rate_limit.Rate();
   candidate.choice.work_time = Duration(std::llround(work));
   candidate.choice.completion =
       Duration(std::llround(round_trip + wait + work));
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -48,6 +48,8 @@
   Duration work_time{0};
   /** Estimated number of requests at the upstream. */
   double occupancy = 0;
+  /** Rate limit that the upstream states, in requests per second. */
+  std::optional<double> rate_limit;
   /** The upstream can accept the request now; otherwise the request should wait
    * for it.
    */
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -559,6 +559,9 @@
   if (event.load) {
     m_upstreams.OnLoadReport(send.upstream, *event.load, context.Now());
   }
+  if (!event.wrong_upstream && !event.rate_limit_unreadable) {
+    RecordRateLimit(context, *request, send, event);
+  }
   if (event.keep_alive) {
     const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
     const bool keep = upstream != nullptr && !upstream->leaving &&
@@ -643,6 +646,24 @@
   }
 }
 
+void RequestDispatcher::RecordRateLimit(Context& context,
+                                        const DispatchRequest& request,
+                                        const ActiveSend& send,
+                                        const UpstreamAnswered& event) {
+  TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  const std::optional<double> previous = upstream->rate_limit.Rate();
+  if (upstream->rate_limit.OnAnswer(event.rate_limit, send.sent_at,
+                                    context.Now())) {
+    context.Record("upstream_rate_limit", send.upstream.Text(),
+                   {{"rate", FormatRate(event.rate_limit)},
+                    {"previous", FormatRate(previous)},
+                    {"request", FormatRequestId(request.id)}});
+  }
+}
+
 bool RequestDispatcher::MayResend(const DispatchRequest& request,
                                   MonotonicTime now) const {
   const Duration work = m_times.Expect(request.service, CachePrediction::kHit);
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -143,6 +143,10 @@
                        const DispatchRequest& request,
                        const ActiveSend& send,
                        const UpstreamAnswered& event);
+  void RecordRateLimit(Context& context,
+                       const DispatchRequest& request,
+                       const ActiveSend& send,
+                       const UpstreamAnswered& event);
   /** Queues the request again if the limits allow another send. */
   bool TryResend(Context& context, DispatchRequest& request);
   bool MayResend(const DispatchRequest& request, MonotonicTime now) const;
--- a/src/dispatch/request_log.cc
+++ b/src/dispatch/request_log.cc
@@ -1,6 +1,5 @@
 #include "dispatch/request_log.h"
 
-#include <string>
 #include <utility>
 #include <vector>
 
@@ -26,6 +25,10 @@
 
 }  // namespace
 
+std::string FormatRate(std::optional<double> rate) {
+  return rate ? absl::StrFormat("%.3g", *rate) : "none";
+}
+
 void RecordRequestEnd(Context& context,
                       const DispatchRequest& request,
                       const CallerAnswer& answer) {
@@ -54,6 +57,9 @@
         {"expected_us", FormatMicroseconds(send.choice.completion)});
     fields.push_back(
         {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
+    if (send.choice.rate_limit) {
+      fields.push_back({"rate_limit", FormatRate(send.choice.rate_limit)});
+    }
   }
   if (request.considered) {
     const PlacementChoice& choice = *request.considered;
@@ -64,6 +70,9 @@
         {"best_occupancy", absl::StrFormat("%.1f", choice.occupancy)});
     fields.push_back(
         {"left_us", FormatMicroseconds(request.deadline - context.Now())});
+    if (choice.rate_limit) {
+      fields.push_back({"best_rate_limit", FormatRate(choice.rate_limit)});
+    }
   }
   context.Record(EndEventName(request, answer), FormatRequestId(request.id),
                  std::move(fields));
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -12,6 +12,7 @@
 #include "base/name.h"
 #include "dispatch/cold_start_pacer.h"
 #include "dispatch/recent_objects.h"
+#include "dispatch/stated_rate_limit.h"
 #include "protocol/event.h"
 #include "protocol/peer_message.h"
 #include "registry/registry_record.h"
@@ -61,6 +62,7 @@
   MonotonicTime avoid_until;
   int connect_failures = 0;
 
+  StatedRateLimit rate_limit;
   MonotonicTime cold_until;
   ColdStartPacer pacer;
   RecentObjects objects;
--- a/src/platform/user_platform_dialect.cc
+++ b/src/platform/user_platform_dialect.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <cmath>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -17,6 +17,7 @@
 
 #include "platform/user_store_codec.h"
 #include "runtime/http_fields.h"
+#include "runtime/log_line.h"
 
 namespace kumquatcove {
 
@@ -28,6 +29,7 @@
 constexpr std::string_view kExpectedUpstreamHeader = "Expect-Instance";
 constexpr std::string_view kNotExecutedHeader = "Not-Executed";
 constexpr std::string_view kLoadHeader = "Server-Load";
+constexpr std::string_view kRateLimitHeader = "Server-Limit";
 constexpr std::string_view kSealHeader = "Server-Seal";
 constexpr std::string_view kObjectCookie = "Affinity-Key";
 
@@ -159,6 +161,20 @@
   return UpstreamLoadReport{figures[0], figures[1], figures[2], figures[3]};
 }
 
+/** Reads the decimal number of requests per second. */
+void ReadRateLimit(const std::string& text, UpstreamAnswered& event) {
+  if (text.empty()) {
+    return;
+  }
+  double rate = 0;
+  if (absl::SimpleAtod(text, &rate) && std::isfinite(rate) && rate >= 0) {
+    event.rate_limit = rate;
+    return;
+  }
+  event.rate_limit_unreadable = true;
+  LogWarning(LogLine("upstream_rate_limit_unreadable").Add("value", text));
+}
+
 /** Reads `timeout=SECONDS` of a Keep-Alive header. */
 std::optional<Duration> ReadIdleLimit(const std::string& text) {
   for (absl::string_view part : absl::StrSplit(text, ',')) {
@@ -178,6 +194,7 @@
   event.wrong_upstream = answer.status == kMisdirected;
   event.not_executed = !FindHeader(answer.headers, kNotExecutedHeader).empty();
   event.load = ReadLoad(FindHeader(answer.headers, kLoadHeader));
+  ReadRateLimit(FindHeader(answer.headers, kRateLimitHeader), event);
   event.idle_limit = ReadIdleLimit(FindHeader(answer.headers, "Keep-Alive"));
   const bool encoded = !FindHeader(answer.headers, "Content-Encoding").empty();
   const bool sealed = !FindHeader(answer.headers, kSealHeader).empty();
--- a/src/platform/user_platform_dialect_test.cc
+++ b/src/platform/user_platform_dialect_test.cc
@@ -94,6 +94,26 @@
   CHECK(read(Answer(500, {{"Server-Load", "3,x,8"}})).load == std::nullopt);
 }
 
+TEST_CASE("An answer states the upstream's rate limit, or none") {
+  const auto read = [](const std::string& limit) {
+    UpstreamAnswered event;
+    CHECK(Dialect().upstreams.read_answer(
+        Answer(503, {{"Server-Limit", limit}}), event));
+    return event;
+  };
+  CHECK(read("12.5").rate_limit == 12.5);
+  CHECK(read("0").rate_limit == 0);
+  for (const char* unreadable : {"-1", "many", "nan", "inf", "3,5"}) {
+    CAPTURE(unreadable);
+    CHECK_FALSE(read(unreadable).rate_limit.has_value());
+    CHECK(read(unreadable).rate_limit_unreadable);
+  }
+  UpstreamAnswered event;
+  CHECK(Dialect().upstreams.read_answer(Answer(503, {}), event));
+  CHECK_FALSE(event.rate_limit.has_value());
+  CHECK_FALSE(event.rate_limit_unreadable);
+}
+
 TEST_CASE("A success without a seal or with an encoding isn't passed on") {
   UpstreamAnswered event;
   const auto& read = Dialect().upstreams.read_answer;
--- a/src/protocol/event.h
+++ b/src/protocol/event.h
@@ -189,6 +189,12 @@
   /** The address belongs to a different upstream than expected. */
   bool wrong_upstream = false;
   std::optional<UpstreamLoadReport> load;
+  /** Requests per second that the upstream accepts from all instances together;
+   * not set if it states no limit. */
+  std::optional<double> rate_limit;
+  /** The answer states a rate limit that can't be read, so that an earlier one
+   * still applies. */
+  bool rate_limit_unreadable = false;
   /** The upstream closes the connection after this much idle time. */
   std::optional<Duration> idle_limit;
   friend bool operator==(const UpstreamAnswered&,
@@ -203,6 +209,8 @@
                        not_executed,
                        wrong_upstream,
                        load,
+                       rate_limit,
+                       rate_limit_unreadable,
                        idle_limit))
 
 /** Answer to ProbeUpstream. */
