--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -119,7 +119,7 @@
 
 TEST_CASE("All pages of a table are read") {
   SyncFixture fixture;
-  fixture.table.page = 2;
+  fixture.table.rows->page = 2;
   for (int i = 0; i < 7; ++i) {
     fixture.PutUpstream(MakeUpstream("u" + std::to_string(i)));
   }
