Let the pacer of cold upstreams serve any limited rate

Cause of the change: a cold upstream isn't the only one whose rate is limited for all instances together; the time slots that divide such a rate without messages don't depend on why it is limited.

Change: ColdStartPacer is TimeSlotPacer and gets rate and share in one call; placement carries the share instead of the window of the cold rate. Same decisions.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -12,7 +12,6 @@
  * without network or clock. Limits that apply to all instances together are
  * divided among them, so that no messages are needed to enforce them.
  */
-#include "dispatch/cold_start_pacer.h"
 #include "dispatch/crash_suspicions.h"
 #include "dispatch/dispatch_reducer.h"
 #include "dispatch/hit_probability_estimator.h"
@@ -27,6 +26,7 @@
 #include "dispatch/shared_load.h"
 #include "dispatch/sliding_count.h"
 #include "dispatch/stated_rate_limit.h"
+#include "dispatch/time_slot_pacer.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
 #include "dispatch/zone_distances.h"
--- a/src/dispatch/limits_test.cc
+++ b/src/dispatch/limits_test.cc
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "base/random.h"
-#include "dispatch/cold_start_pacer.h"
 #include "dispatch/crash_suspicions.h"
 #include "dispatch/region_overflow.h"
 #include "dispatch/resend_budget.h"
 #include "dispatch/service_splitter.h"
 #include "dispatch/sliding_count.h"
+#include "dispatch/time_slot_pacer.h"
 
 namespace kumquatcove {
 namespace {
@@ -140,12 +140,11 @@
 }
 
 TEST_CASE("A cold upstream gets no more than its rate") {
-  ColdStartPacer pacer;
+  TimeSlotPacer pacer;
   int sent = 0;
   const auto send_when_due = [&](Duration time, double rate) {
     const WallTime now{time.count()};
-    const auto window = ColdStartPacer::FindWindow(now, {rate, 1, 0});
-    if (window && pacer.IsDue(*window)) {
+    if (pacer.IsDue(rate, {1, 0, now})) {
       pacer.RecordSend(now);
       ++sent;
     }
@@ -171,7 +170,7 @@
     Random random(seed);
     const int instances = 1 + static_cast<int>(random.NextBelow(40));
     // Requests come in bursts, between which every instance is idle.
-    std::vector<ColdStartPacer> pacers(static_cast<std::size_t>(instances));
+    std::vector<TimeSlotPacer> pacers(static_cast<std::size_t>(instances));
     std::vector<Duration> clock_errors;
     clock_errors.reserve(pacers.size());
     for (int i = 0; i < instances; ++i) {
@@ -186,9 +185,7 @@
         const auto index = static_cast<std::size_t>(rank);
         const WallTime wall{
             (At(time).time_since_epoch() + clock_errors[index]).count()};
-        const auto window =
-            ColdStartPacer::FindWindow(wall, {kRate, instances, rank});
-        if (window && pacers[index].IsDue(*window)) {
+        if (pacers[index].IsDue(kRate, {instances, rank, wall})) {
           pacers[index].RecordSend(wall);
           sent.push_back(At(time));
           ++total;
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -69,13 +69,19 @@
          !Contains(request.excluded, upstream.registration.id);
 }
 
+bool Placement::IsTimeSlotOpen(const TrackedUpstream& upstream,
+                               const PlacementRequest& request,
+                               double rate) const {
+  return upstream.region == m_region && request.time_slots &&
+         upstream.pacer.IsDue(rate, *request.time_slots);
+}
+
 bool Placement::HasRoom(const TrackedUpstream& upstream,
                         const PlacementRequest& request,
                         bool has_affinity,
                         MonotonicTime now) const {
   if (m_upstreams.IsCold(upstream, now) &&
-      (upstream.region != m_region || !request.cold_window ||
-       !upstream.pacer.IsDue(*request.cold_window))) {
+      !IsTimeSlotOpen(upstream, request, request.cold_rate)) {
     return false;
   }
   const double most = has_affinity
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -11,6 +11,7 @@
 #include "dispatch/hit_probability_estimator.h"
 #include "dispatch/recent_objects.h"
 #include "dispatch/service_times.h"
+#include "dispatch/time_slot_pacer.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/zone_distances.h"
 
@@ -25,9 +26,11 @@
   std::vector<UpstreamId> excluded;
   /** Regions that it may run in; empty for all. */
   std::vector<RegionName> home_regions;
-  /** Start of the window in which this instance may send a request to each cold
-   * upstream of its own region; `std::nullopt` outside a window. */
-  std::optional<WallTime> cold_window;
+  /** Requests per second that a cold upstream of the service accepts. */
+  double cold_rate = 0;
+  /** Share of this instance in limited rates; `std::nullopt` if the other
+   * instances aren't known yet. */
+  std::optional<TimeSlotShare> time_slots;
   /** It may run in another region than the planned one. */
   bool may_overflow = true;
   /** Ratio of all requests that wait for an upstream to those that this
@@ -139,6 +142,11 @@
   bool IsAllowed(const TrackedUpstream& upstream,
                  const PlacementRequest& request,
                  MonotonicTime now) const;
+  /** Returns whether this instance may send one of `rate` requests per second
+   * now, by the time slots of the instances of the upstream's region. */
+  bool IsTimeSlotOpen(const TrackedUpstream& upstream,
+                      const PlacementRequest& request,
+                      double rate) const;
   Plan MakePlan(const PlacementRequest& request, MonotonicTime now) const;
   void AddAffinityUpstreams(
       const PlacementRequest& request,
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -193,16 +193,9 @@
   Enqueue(context, request);
 }
 
-std::optional<WallTime> RequestDispatcher::FindColdWindow(
-    const ServiceName& service,
-    WallTime now) const {
-  if (!m_counts.are_known) {
-    return std::nullopt;
-  }
+double RequestDispatcher::FindColdRate(const ServiceName& service) const {
   const ServiceTraits* traits = m_routes->FindService(service);
-  const double rate = traits == nullptr ? 0 : traits->cold_requests_per_second;
-  return ColdStartPacer::FindWindow(
-      now, {rate, m_counts.in_region, m_counts.rank_in_region});
+  return traits == nullptr ? 0 : traits->cold_requests_per_second;
 }
 
 void RequestDispatcher::Enqueue(Context& context, DispatchRequest& request) {
@@ -236,8 +229,12 @@
     DispatchRequest& request) {
   const MonotonicTime now = context.Now();
   SetAwaited(request, std::nullopt);
-  request.placement.cold_window =
-      FindColdWindow(request.service, context.Wall());
+  request.placement.cold_rate = FindColdRate(request.service);
+  request.placement.time_slots =
+      m_counts.are_known
+          ? std::optional(TimeSlotShare{
+                m_counts.in_region, m_counts.rank_in_region, context.Wall()})
+          : std::nullopt;
   request.placement.may_overflow = m_overflow.IsAllowed(now);
   // Instances that have sent no recent digest are assumed to have as many
   // waiting requests as the others.
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -125,11 +125,7 @@
              DispatchRequest& request,
              PlacementChoice choice);
   void Send(Context& context, DispatchRequest& request);
-  /** Returns the start of the current window in which this instance may send a
-   * request to each cold upstream of a service; `std::nullopt` outside a
-   * window. */
-  std::optional<WallTime> FindColdWindow(const ServiceName& service,
-                                         WallTime now) const;
+  double FindColdRate(const ServiceName& service) const;
 
   // Results.
   void CloseIdle(Context& context, const UpstreamId& upstream);
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -10,9 +10,9 @@
 
 #include "base/clock_reading.h"
 #include "base/name.h"
-#include "dispatch/cold_start_pacer.h"
 #include "dispatch/recent_objects.h"
 #include "dispatch/stated_rate_limit.h"
+#include "dispatch/time_slot_pacer.h"
 #include "protocol/event.h"
 #include "protocol/peer_message.h"
 #include "registry/registry_record.h"
@@ -64,7 +64,7 @@
 
   StatedRateLimit rate_limit;
   MonotonicTime cold_until;
-  ColdStartPacer pacer;
+  TimeSlotPacer pacer;
   RecentObjects objects;
 };
 
