--- a/src/dispatch/cluster/rate_limit_test.cc
+++ b/src/dispatch/cluster/rate_limit_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,43 +63,133 @@
   std::vector<std::string> upstreams;
 };
 
+/** Checks the platform's bound for the upstreams that state `rate` since
+ * `stated`, and that the rate was used. */
+void CheckRate(RatedCluster& cluster,
+               const std::vector<std::string>& upstreams,
+               double rate,
+               MonotonicTime stated,
+               double min_use = kMinUse) {
+  const MonotonicTime begin = stated + kNotice;
+  const double seconds =
+      std::chrono::duration<double>(cluster.Now() - begin).count();
+  for (const std::string& name : upstreams) {
+    CAPTURE(name);
+    const FakeRatedUpstream& upstream = cluster.Upstream(name);
+    CHECK(upstream.CountBusiest(kWindow, begin, cluster.Now()) <=
+          MaxArrivals(rate));
+    CHECK(upstream.CountArrivals(begin, cluster.Now()) >=
+          min_use * rate * seconds);
+  }
+}
+
+/** Lets upstreams state a limit, or none, from now on. */
+MonotonicTime StateLimit(RatedCluster& cluster,
+                         const std::vector<std::string>& upstreams,
+                         std::optional<double> rate) {
+  for (const std::string& upstream : upstreams) {
+    cluster.Upstream(upstream).rate_limit = rate;
+  }
+  return cluster.Now();
+}
+
 }  // namespace
 
 TEST_CASE(
     "An upstream that states a rate limit gets no more than that from all "
     "instances together") {
   RatedCluster cluster(3, 180, 1);
-  const double rate = 10;
-  for (int i = 0; i < 4; ++i) {
-    cluster.Upstream(Numbered("v", i)).rate_limit = rate;
-  }
-  const MonotonicTime stated = cluster.Now();
+  const std::vector<std::string> limited = {"v0", "v1", "v2", "v3"};
+  const MonotonicTime stated = StateLimit(cluster, limited, 10);
   cluster.Advance(Seconds(20));
-  for (int i = 0; i < 4; ++i) {
-    CAPTURE(i);
-    const FakeRatedUpstream& upstream = cluster.Upstream(Numbered("v", i));
-    CHECK(upstream.CountBusiest(kWindow, stated + kNotice, cluster.Now()) <=
-          MaxArrivals(rate));
-    CHECK(upstream.CountArrivals(stated + kNotice, cluster.Now()) >=
-          kMinUse * rate * 17);
-  }
+  CheckRate(cluster, limited, 10, stated);
 }
 
 TEST_CASE("A rate limit below one request a second for each instance is kept") {
   RatedCluster cluster(8, 180, 2);
-  const double rate = 1.5;
-  for (const std::string& upstream : cluster.upstreams) {
-    cluster.Upstream(upstream).rate_limit = rate;
-  }
-  const MonotonicTime stated = cluster.Now();
+  const MonotonicTime stated = StateLimit(cluster, cluster.upstreams, 1.5);
   cluster.Advance(Seconds(20));
-  for (const std::string& upstream : cluster.upstreams) {
-    CAPTURE(upstream);
-    CHECK(cluster.Upstream(upstream).CountBusiest(
-              kWindow, stated + kNotice, cluster.Now()) <= MaxArrivals(rate));
-    CHECK(cluster.Upstream(upstream).CountArrivals(
-              stated + kNotice, cluster.Now()) >= kMinUse * rate * 17);
+  CheckRate(cluster, cluster.upstreams, 1.5, stated);
+}
+
+TEST_CASE("A rate limit of zero leaves enough requests to learn of its end") {
+  RatedCluster cluster(3, 180, 3);
+  StateLimit(cluster, {"v0"}, 0);
+  cluster.Advance(Seconds(20));
+  const FakeRatedUpstream& upstream = cluster.Upstream("v0");
+  CHECK(upstream.CountBusiest(kWindow, cluster.Now() - Seconds(17),
+                              cluster.Now()) <= MaxArrivals(0));
+  const MonotonicTime ended = StateLimit(cluster, {"v0"}, std::nullopt);
+  cluster.Advance(Seconds(10));
+  CHECK(upstream.CountArrivals(ended + Seconds(6), cluster.Now()) > 40);
+}
+
+TEST_CASE("The end of a rate limit is used by all instances") {
+  RatedCluster cluster(3, 180, 4);
+  StateLimit(cluster, cluster.upstreams, 5);
+  cluster.Advance(Seconds(10));
+  const MonotonicTime ended =
+      StateLimit(cluster, cluster.upstreams, std::nullopt);
+  cluster.Advance(Seconds(6));
+  for (const std::string& name : cluster.upstreams) {
+    CAPTURE(name);
+    CHECK(cluster.Upstream(name).CountArrivals(ended + Seconds(1),
+                                               cluster.Now()) > 5 * 10);
+  }
+}
+
+TEST_CASE(
+    "A rate limit is kept and used while instances are killed, frozen, "
+    "stopped and cut off") {
+  for (std::uint64_t seed = 10; seed < 20; ++seed) {
+    CAPTURE(seed);
+    RatedCluster cluster(3, 180, seed);
+    Random random(seed);
+    const std::vector<std::string> limited = {"v0", "v1", "v2", "v3"};
+    const MonotonicTime stated = StateLimit(cluster, limited, 8);
+    cluster.store_up = random.NextBelow(2) == 0;
+    for (int step = 0; step < 6; ++step) {
+      const std::string& instance =
+          cluster.instances[random.NextBelow(cluster.instances.size())];
+      switch (random.NextBelow(4)) {
+        case 0:
+          cluster.Kill(instance);
+          cluster.Advance(Milliseconds(500));
+          cluster.StartInstance(instance);
+          break;
+        case 1:
+          cluster.Freeze(instance, Seconds(2));
+          break;
+        case 2:
+          cluster.Stop(instance);
+          break;
+        default:
+          cluster.CutFromPeers(instance, true);
+          cluster.Advance(Seconds(2));
+          cluster.CutFromPeers(instance, false);
+          break;
+      }
+      cluster.Advance(Seconds(4));
+      if (!cluster.IsRunning(instance)) {
+        cluster.StartInstance(instance);
+      }
+    }
+    // While the coordinator of an upstream is unreachable, time slots use less
+    // of its rate.
+    CheckRate(cluster, limited, 8, stated, 0.5);
+  }
+}
+
+TEST_CASE("A request that a rate limit leaves no room for is refused at once") {
+  RatedCluster cluster(3, 180, 5);
+  StateLimit(cluster, cluster.upstreams, 5);
+  cluster.Advance(Seconds(10));
+  int refused = 0;
+  for (const std::string& instance : cluster.instances) {
+    refused += cluster.Outcomes(instance).refused;
+    CHECK(cluster.Outcomes(instance).slowest_refusal <= Milliseconds(600));
   }
+  CHECK(refused > 500);
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -57,6 +57,7 @@
     reducer.HandleOperatorCommand(event);
   }
   void operator()(const PeerMessageArrived& event) const {
+    reducer.m_dispatcher.OnPeerContact(event.from);
     if (const auto* gossip = std::get_if<Gossip>(&event.message)) {
       reducer.m_presence.OnHeartbeat(reducer.m_context, *gossip);
       for (const MemberRecord& record : gossip->records) {
@@ -70,6 +71,12 @@
       reducer.m_registry.OnPeerVersions(
           {digest->operator_version, digest->upstreams_version},
           reducer.m_context.Now());
+    } else if (const auto* request =
+                   std::get_if<PermitRequest>(&event.message)) {
+      reducer.m_dispatcher.OnPermitRequest(reducer.m_context, event.from,
+                                           *request);
+    } else if (const auto* grant = std::get_if<PermitGrant>(&event.message)) {
+      reducer.m_dispatcher.OnPermitGrant(reducer.m_context, event.from, *grant);
     }
   }
   void operator()(const StoreReplyArrived& event) const {
@@ -138,6 +145,7 @@
   m_last_event = m_context.Now();
   std::visit(EventVisitor{*this}, event);
   ApplyChanges();
+  m_dispatcher.ExchangePermits(m_context, m_presence);
   BroadcastSuspicions();
   return m_context.TakeEffects();
 }
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dispatch/region_plan.h"
+#include "dispatch/upstream_rate_limiter.h"
 
 namespace kumquatcove {
 namespace {
@@ -20,6 +21,10 @@
 // Above this probability a cache hit is predicted.
 constexpr double kHitThreshold = 0.5;
 
+// A request may always wait this long for the rate limit of an upstream: a
+// permit takes a round trip.
+constexpr Duration kMinRateWait = Milliseconds(100);
+
 // Cost of a rejected send: a round trip and a unit of the resend budget.
 constexpr Duration kRejectionCost = Milliseconds(120);
 constexpr double kMaxFailureShare = 0.9;
@@ -64,7 +69,11 @@
 bool Placement::IsAllowed(const TrackedUpstream& upstream,
                           const PlacementRequest& request,
                           MonotonicTime now) const {
-  return IsInHomeRegion(upstream, request) &&
+  // Without an issuer of permits only the upstream's region has time slots.
+  const bool is_reachable = !upstream.rate_limit.Rate() ||
+                            !upstream.permits.IsIssuerLost(now) ||
+                            upstream.region == m_region;
+  return is_reachable && IsInHomeRegion(upstream, request) &&
          m_upstreams.IsOpen(upstream, now) &&
          !Contains(request.excluded, upstream.registration.id);
 }
@@ -76,20 +85,51 @@
          upstream.pacer.IsDue(rate, *request.time_slots);
 }
 
-bool Placement::HasRoom(const TrackedUpstream& upstream,
-                        const PlacementRequest& request,
-                        bool has_affinity,
-                        MonotonicTime now) const {
+bool Placement::IsRateFree(const TrackedUpstream& upstream,
+                           const PlacementRequest& request,
+                           MonotonicTime now) const {
   if (m_upstreams.IsCold(upstream, now) &&
       !IsTimeSlotOpen(upstream, request, request.cold_rate)) {
     return false;
   }
+  const std::optional<double> rate = UpstreamRateLimiter::FindRate(upstream);
+  return !rate || upstream.permits.CountValid(now) > 0 ||
+         (upstream.permits.IsIssuerLost(now) &&
+          IsTimeSlotOpen(upstream, request, *rate));
+}
+
+bool Placement::HasSlot(const TrackedUpstream& upstream,
+                        bool has_affinity,
+                        MonotonicTime now) {
   const double most = has_affinity
                           ? upstream.registration.slots * (1 + kMaxWaitingShare)
                           : kMaxOccupancyWithoutAffinity;
   return UpstreamTable::EstimateOccupancy(upstream, now) < most;
 }
 
+bool Placement::HasRoom(const TrackedUpstream& upstream,
+                        const PlacementRequest& request,
+                        bool has_affinity,
+                        MonotonicTime now) const {
+  return IsRateFree(upstream, request, now) &&
+         HasSlot(upstream, has_affinity, now);
+}
+
+Duration Placement::EstimateRateWait(const TrackedUpstream& upstream,
+                                     const PlacementRequest& request,
+                                     MonotonicTime now) {
+  const std::optional<double> rate = UpstreamRateLimiter::FindRate(upstream);
+  if (!rate) {
+    return Duration::zero();
+  }
+  // Without an issuer this instance has one time slot in each cycle.
+  const int instances = upstream.permits.IsIssuerLost(now) && request.time_slots
+                            ? request.time_slots->instances
+                            : 1;
+  return upstream.permits.EstimateWait(upstream.awaited, *rate / instances,
+                                       now);
+}
+
 Placement::Plan Placement::MakePlan(const PlacementRequest& request,
                                     MonotonicTime now) const {
   Plan plan;
@@ -200,8 +240,10 @@
   const double occupancy = UpstreamTable::EstimateOccupancy(upstream, now);
   const double waiting =
       (upstream.awaited + upstream.peers_awaited) * request.waiting_ratio;
-  const double wait = std::max(0.0, occupancy + waiting + 1 - slots) *
-                      (hit_time * slowness) / slots;
+  const Duration rate_wait = EstimateRateWait(upstream, request, now);
+  const double wait = std::max(std::max(0.0, occupancy + waiting + 1 - slots) *
+                                   (hit_time * slowness) / slots,
+                               static_cast<double>(rate_wait.count()));
   const double crowding =
       kCrowdingCost * work * std::pow(std::min(occupancy / slots, 1.0), 2);
   const double failing = std::min(
@@ -223,6 +265,8 @@
   candidate.choice.work_time = Duration(std::llround(work));
   candidate.choice.completion =
       Duration(std::llround(round_trip + wait + work));
+  candidate.choice.rate_exceeded =
+      IsRateExceeded(request, rate_wait, candidate.choice.completion, now);
   const double miss =
       (1 - prediction) * kMissCost * std::max(0.0, miss_time - hit_time) *
       std::clamp((region_load - kFreeLoad) / (kFullLoad - kFreeLoad), 0.0, 1.0);
@@ -275,8 +319,15 @@
     const bool has_affinity = request.object == 0 ||
                               position != plan.affinity_upstreams.end() ||
                               LikelyHasObjectCached(upstream, request);
+    if (!IsAllowed(upstream, request, now)) {
+      continue;
+    }
     const bool has_room = HasRoom(upstream, request, has_affinity, now);
-    if (!IsAllowed(upstream, request, now) || (!has_affinity && !has_room)) {
+    // The rate of an upstream that states a limit is best used up by any
+    // request, while its slots are free.
+    const bool is_idle =
+        upstream.rate_limit.Rate() && HasSlot(upstream, has_affinity, now);
+    if (!has_affinity && !has_room && !is_idle) {
       continue;
     }
     const std::size_t rank =
@@ -305,9 +356,19 @@
   return choice;
 }
 
+bool Placement::IsRateExceeded(const PlacementRequest& request,
+                               Duration rate_wait,
+                               Duration completion,
+                               MonotonicTime now) {
+  return rate_wait > kMinRateWait && now + completion > request.useful_until;
+}
+
 void Placement::UpdateBest(std::optional<Candidate>& best,
                            const Candidate& candidate) {
-  if (!best || candidate.cost_us < best->cost_us) {
+  const auto rank = [](const Candidate& ranked) {
+    return std::pair(ranked.choice.rate_exceeded, ranked.cost_us);
+  };
+  if (!best || rank(candidate) < rank(*best)) {
     best = candidate;
   }
 }
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -31,6 +31,8 @@
   /** Share of this instance in limited rates; `std::nullopt` if the other
    * instances aren't known yet. */
   std::optional<TimeSlotShare> time_slots;
+  /** End of the request's latency objective. */
+  MonotonicTime useful_until;
   /** It may run in another region than the planned one. */
   bool may_overflow = true;
   /** Ratio of all requests that wait for an upstream to those that this
@@ -49,6 +51,8 @@
   Duration completion{0};
   /** Expected time at the upstream, without network and waiting. */
   Duration work_time{0};
+  /** The wait for the upstream's rate limit is too long to be worthwhile. */
+  bool rate_exceeded = false;
   /** Estimated number of requests at the upstream. */
   double occupancy = 0;
   /** Rate limit that the upstream states, in requests per second. */
@@ -147,6 +151,19 @@
   bool IsTimeSlotOpen(const TrackedUpstream& upstream,
                       const PlacementRequest& request,
                       double rate) const;
+  /** Returns whether the upstream's rate allows a request now. */
+  bool IsRateFree(const TrackedUpstream& upstream,
+                  const PlacementRequest& request,
+                  MonotonicTime now) const;
+  /** Returns whether the upstream has a slot for a request now. */
+  static bool HasSlot(const TrackedUpstream& upstream,
+                      bool has_affinity,
+                      MonotonicTime now);
+  /** Returns the expected time until the upstream's rate limit allows the
+   * request. */
+  static Duration EstimateRateWait(const TrackedUpstream& upstream,
+                                   const PlacementRequest& request,
+                                   MonotonicTime now);
   Plan MakePlan(const PlacementRequest& request, MonotonicTime now) const;
   void AddAffinityUpstreams(
       const PlacementRequest& request,
@@ -174,6 +191,13 @@
   std::map<RegionName, double> EstimateLoads(const ServiceName& service,
                                              MonotonicTime now) const;
 
+  /** Returns whether a wait for the upstream's rate limit makes the request
+   * miss its latency objective. A queue that is longer than needed to use the
+   * rate up makes all requests late and serves no more of them. */
+  static bool IsRateExceeded(const PlacementRequest& request,
+                             Duration rate_wait,
+                             Duration completion,
+                             MonotonicTime now);
   static void UpdateBest(std::optional<Candidate>& best,
                          const Candidate& candidate);
 
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -84,6 +84,7 @@
                   self.region),
       m_overflow(settings.max_region_shift),
       m_shared_load(m_upstreams),
+      m_rate_limiter(m_upstreams),
       m_resends(settings) {}
 
 void RequestDispatcher::SetSettings(const DispatchSettings& settings) {
@@ -181,6 +182,7 @@
       {event.http.host, event.http.method, event.http.target, event.http.body});
   request.placement.service = request.service;
   request.placement.home_regions = route.home_regions;
+  request.placement.useful_until = context.Now() + route.latency_objective;
   if (route.has_object_affinity && !event.object.empty()) {
     request.placement.object = HashObject(route.name, event.object);
   }
@@ -205,7 +207,7 @@
     Refuse(context, request, RefusalReason::kNoUpstream, kMaxRetryAfter);
     return;
   }
-  if (now + choice->completion > request.deadline) {
+  if (IsTooLate(request, *choice, now)) {
     RefuseForLackOfRoom(context, request, *choice);
     return;
   }
@@ -303,7 +305,7 @@
     Start(context, request, *choice);
     return true;
   }
-  if (context.Now() + choice->completion > request.deadline) {
+  if (IsTooLate(request, *choice, context.Now())) {
     RefuseForLackOfRoom(context, request, *choice);
     return false;
   }
@@ -311,6 +313,12 @@
   return false;
 }
 
+bool RequestDispatcher::IsTooLate(const DispatchRequest& request,
+                                  const PlacementChoice& choice,
+                                  MonotonicTime now) {
+  return choice.rate_exceeded || now + choice.completion > request.deadline;
+}
+
 void RequestDispatcher::RefuseForLackOfRoom(Context& context,
                                             DispatchRequest& request,
                                             const PlacementChoice& choice) {
@@ -324,7 +332,10 @@
                               PlacementChoice choice) {
   const MonotonicTime now = context.Now();
   TrackedUpstream& upstream = *m_upstreams.Find(choice.upstream);
-  if (m_upstreams.IsCold(upstream, now)) {
+  const bool has_permit =
+      upstream.rate_limit.Rate() && upstream.permits.Take(now);
+  if (m_upstreams.IsCold(upstream, now) ||
+      (upstream.rate_limit.Rate() && !has_permit)) {
     upstream.pacer.RecordSend(context.Wall());
   }
   ActiveSend send;
@@ -556,9 +567,8 @@
   if (event.load) {
     m_upstreams.OnLoadReport(send.upstream, *event.load, context.Now());
   }
-  if (!event.wrong_upstream && !event.rate_limit_unreadable) {
-    RecordRateLimit(context, *request, send, event);
-  }
+  m_rate_limiter.OnAnswer(context, send.upstream, request->id, event,
+                          send.sent_at);
   if (event.keep_alive) {
     const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
     const bool keep = upstream != nullptr && !upstream->leaving &&
@@ -643,24 +653,6 @@
   }
 }
 
-void RequestDispatcher::RecordRateLimit(Context& context,
-                                        const DispatchRequest& request,
-                                        const ActiveSend& send,
-                                        const UpstreamAnswered& event) {
-  TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
-  if (upstream == nullptr) {
-    return;
-  }
-  const std::optional<double> previous = upstream->rate_limit.Rate();
-  if (upstream->rate_limit.OnAnswer(event.rate_limit, send.sent_at,
-                                    context.Now())) {
-    context.Record("upstream_rate_limit", send.upstream.Text(),
-                   {{"rate", FormatRate(event.rate_limit)},
-                    {"previous", FormatRate(previous)},
-                    {"request", FormatRequestId(request.id)}});
-  }
-}
-
 bool RequestDispatcher::MayResend(const DispatchRequest& request,
                                   MonotonicTime now) const {
   const Duration work = m_times.Expect(request.service, CachePrediction::kHit);
@@ -715,6 +707,25 @@
                                      const InstanceId& sender,
                                      const LoadDigest& digest) {
   m_shared_load.OnDigest(sender, digest, context.Now());
+  m_rate_limiter.OnPeerLimits(context, sender, digest.limits);
+}
+
+LoadDigest RequestDispatcher::MakeDigest(MonotonicTime now) {
+  std::vector<UpstreamLimit> limits =
+      m_rate_limiter.ListOwnLimits(m_shared_load.LastDigest(), now);
+  LoadDigest digest = m_shared_load.MakeDigest(now);
+  digest.limits = std::move(limits);
+  return digest;
+}
+
+void RequestDispatcher::ExchangePermits(Context& context,
+                                        const EntryPresence& presence) {
+  m_rate_limiter.Exchange(context, presence);
+  for (const UpstreamId& id : m_rate_limiter.TakeGranted()) {
+    if (const TrackedUpstream* upstream = m_upstreams.Find(id)) {
+      PlaceWaiting(context, upstream->registration.service);
+    }
+  }
 }
 
 void RequestDispatcher::OnTick(Context& context) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -22,6 +22,7 @@
 #include "dispatch/service_time_learner.h"
 #include "dispatch/service_times.h"
 #include "dispatch/shared_load.h"
+#include "dispatch/upstream_rate_limiter.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
 #include "dispatch/zone_distances.h"
@@ -80,9 +81,26 @@
     return m_shared_load.IsDue(receivers, now);
   }
   /** Returns the digest to be sent now. */
-  LoadDigest MakeDigest(MonotonicTime now) {
-    return m_shared_load.MakeDigest(now);
+  LoadDigest MakeDigest(MonotonicTime now);
+
+  /** Records that a message of another instance has arrived. */
+  void OnPeerContact(const InstanceId& sender) {
+    m_rate_limiter.OnPeerContact(sender);
+  }
+  void OnPermitRequest(Context& context,
+                       const InstanceId& sender,
+                       const PermitRequest& request) {
+    m_rate_limiter.OnPermitRequest(context, sender, request);
+  }
+  void OnPermitGrant(Context& context,
+                     const InstanceId& sender,
+                     const PermitGrant& grant) {
+    m_rate_limiter.OnPermitGrant(context, sender, grant);
   }
+  /** Requests and issues permits of upstreams that state a rate limit, and
+   * sends the requests for which permits have arrived; to be called after each
+   * event. */
+  void ExchangePermits(Context& context, const EntryPresence& presence);
 
   void OnRequestArrived(Context& context, const RequestArrived& event);
   void OnCallerGone(Context& context, RequestId request);
@@ -113,6 +131,10 @@
   /** Starts a send, or records the upstream for which the request waits, or
    * refuses the request if it would miss its deadline. */
   bool TryStart(Context& context, DispatchRequest& request);
+  /** Returns whether waiting for the chosen upstream isn't worthwhile. */
+  static bool IsTooLate(const DispatchRequest& request,
+                        const PlacementChoice& choice,
+                        MonotonicTime now);
   void RefuseForLackOfRoom(Context& context,
                            DispatchRequest& request,
                            const PlacementChoice& choice);
@@ -139,10 +161,6 @@
                        const DispatchRequest& request,
                        const ActiveSend& send,
                        const UpstreamAnswered& event);
-  void RecordRateLimit(Context& context,
-                       const DispatchRequest& request,
-                       const ActiveSend& send,
-                       const UpstreamAnswered& event);
   /** Queues the request again if the limits allow another send. */
   bool TryResend(Context& context, DispatchRequest& request);
   bool MayResend(const DispatchRequest& request, MonotonicTime now) const;
@@ -194,6 +212,7 @@
   IdleConnections m_idle;
   RegionOverflow m_overflow;
   SharedLoad m_shared_load;
+  UpstreamRateLimiter m_rate_limiter;
   ResendBudget m_resends;
   ServiceSplitter m_splitter;
   CrashSuspicions m_suspicions;
--- a/src/dispatch/shared_load.h
+++ b/src/dispatch/shared_load.h
@@ -41,6 +41,9 @@
   /** Returns whether it is time to send a digest to `receivers` instances. */
   bool IsDue(std::size_t receivers, MonotonicTime now) const;
 
+  /** Returns the time of the last digest. */
+  MonotonicTime LastDigest() const { return m_last_digest; }
+
   /** Records that an upstream has handled an object for this instance. */
   void OnHandled(const UpstreamId& upstream, ObjectHash object);
 
--- a/src/dispatch/stated_rate_limit.h
+++ b/src/dispatch/stated_rate_limit.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/clock_reading.h"
+#include "protocol/peer_message.h"
 
 namespace kumquatcove {
 
@@ -28,7 +29,17 @@
                 MonotonicTime sent,
                 MonotonicTime received);
 
+  /** Applies what another instance knows, and returns whether the known limit
+   * has changed. */
+  bool OnPeerReport(const StatedLimit& report, MonotonicTime now);
+
+  /** Returns what this instance knows, for other instances. Precondition: a
+   * limit was known at some time. */
+  StatedLimit Report(MonotonicTime now) const;
+
  private:
+  bool Apply(std::optional<double> rate, MonotonicTime known_at);
+
   std::optional<double> m_rate;
   /** With a limit, the latest time at which it may have been stated; without
    * one, the earliest time from which none was stated. */
--- a/src/dispatch/stated_rate_limit_test.cc
+++ b/src/dispatch/stated_rate_limit_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 namespace kumquatcove {
 namespace {
 
@@ -32,4 +34,27 @@
   CHECK(limit.Rate() == std::nullopt);
 }
 
+TEST_CASE("A rate limit is learned from other instances, and so is its end") {
+  StatedRateLimit limit;
+  limit.OnAnswer(12.5, At(0), At(1000));
+  StatedRateLimit other;
+  CHECK(other.OnPeerReport(limit.Report(At(1050)), At(5050)));
+  CHECK(other.Rate() == 12.5);
+  // Its own answer is newer than what the other one knows.
+  CHECK(other.OnAnswer(8, At(5000), At(5060)));
+  CHECK_FALSE(other.OnPeerReport(limit.Report(At(1070)), At(5070)));
+  CHECK(limit.OnAnswer(std::nullopt, At(1500), At(1600)));
+  CHECK(other.OnPeerReport(limit.Report(At(1600)), At(5600)));
+  CHECK(other.Rate() == std::nullopt);
+}
+
+TEST_CASE("A report that can't be true changes nothing") {
+  StatedRateLimit limit;
+  limit.OnAnswer(12.5, At(0), At(1000));
+  CHECK_FALSE(limit.OnPeerReport({5, Milliseconds(-1)}, At(2000)));
+  CHECK(limit.Rate() == 12.5);
+  CHECK(limit.OnPeerReport({std::nan(""), Duration(0)}, At(2000)));
+  CHECK(limit.Rate() == std::nullopt);
+}
+
 }  // namespace kumquatcove
--- /dev/null
+++ b/src/dispatch/upstream_rate_limiter.cc
@@ -0,0 +1,424 @@
+#include "dispatch/upstream_rate_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+#include "dispatch/placement.h"
+#include "dispatch/request_log.h"
+
+namespace kumquatcove {
+namespace {
+
+// Time after the end of a limit in which it is still told to other instances.
+constexpr Duration kEndReportTime = Seconds(3);
+
+// Minimum time between two requests for permits of an upstream, and the time
+// after which a demand is repeated.
+constexpr Duration kMinRequestInterval = Milliseconds(20);
+constexpr Duration kDemandRefresh = Milliseconds(500);
+
+// Time after which an issuer that hasn't answered is taken for lost: two round
+// trips between regions and the time that a busy instance needs.
+constexpr Duration kReplyTimeout = Milliseconds(350);
+// Time for which such an issuer isn't asked again unless a message of it
+// arrives.
+constexpr Duration kSilentTime = Seconds(10);
+// Time for which the issuer named by another instance is asked.
+constexpr Duration kRedirectTime = Seconds(2);
+// Time until an issuer is looked for again.
+constexpr Duration kRetryDelay = Seconds(1);
+
+// Finding the coordinator takes time proportional to the number of instances.
+constexpr Duration kCoordinatorCacheTime = Milliseconds(50);
+
+// Rate at which permits are issued for an upstream whose limit has ended, to
+// instances that don't know that yet.
+constexpr double kUnlimitedRate = 1e5;
+
+/** Returns the rate at which this instance issues permits of an upstream. */
+double FindIssuedRate(const Context& context, const TrackedUpstream& upstream) {
+  const double rate =
+      UpstreamRateLimiter::FindRate(upstream).value_or(kUnlimitedRate);
+  return upstream.region == context.Self().region
+             ? rate
+             : rate * UpstreamRateLimiter::kDeputyShare;
+}
+
+}  // namespace
+
+std::optional<double> UpstreamRateLimiter::FindRate(
+    const TrackedUpstream& upstream) {
+  const std::optional<double> rate = upstream.rate_limit.Rate();
+  return rate ? std::optional(std::max(*rate, kMinRate)) : std::nullopt;
+}
+
+void UpstreamRateLimiter::OnAnswer(Context& context,
+                                   const UpstreamId& id,
+                                   RequestId request,
+                                   const UpstreamAnswered& event,
+                                   MonotonicTime sent) {
+  TrackedUpstream* upstream = m_table.Find(id);
+  if (upstream == nullptr || event.wrong_upstream ||
+      event.rate_limit_unreadable) {
+    return;
+  }
+  if (event.rate_limit || m_limited.contains(id)) {
+    upstream->limit_answered = context.Now();
+  }
+  const std::optional<double> previous = upstream->rate_limit.Rate();
+  if (upstream->rate_limit.OnAnswer(event.rate_limit, sent, context.Now())) {
+    OnChanged(context, *upstream, previous, FormatRequestId(request));
+  }
+}
+
+void UpstreamRateLimiter::OnPeerLimits(
+    Context& context,
+    const InstanceId& sender,
+    const std::vector<UpstreamLimit>& limits) {
+  for (const UpstreamLimit& limit : limits) {
+    TrackedUpstream* upstream = m_table.FindByHash(limit.upstream_hash);
+    if (upstream == nullptr) {
+      continue;
+    }
+    const std::optional<double> previous = upstream->rate_limit.Rate();
+    if (upstream->rate_limit.OnPeerReport(limit.limit, context.Now())) {
+      OnChanged(context, *upstream, previous, sender.Text());
+    }
+  }
+}
+
+void UpstreamRateLimiter::OnChanged(Context& context,
+                                    const TrackedUpstream& upstream,
+                                    std::optional<double> previous,
+                                    const std::string& source) {
+  const std::optional<double> rate = upstream.rate_limit.Rate();
+  context.Record("upstream_rate_limit", upstream.registration.id.Text(),
+                 {{"rate", FormatRate(rate)},
+                  {"previous", FormatRate(previous)},
+                  {"source", source}});
+  m_limited.insert(upstream.registration.id);
+  if (!rate) {
+    // Requests that wait for a permit need none any more.
+    m_granted.insert(upstream.registration.id);
+  }
+}
+
+std::vector<UpstreamLimit> UpstreamRateLimiter::ListOwnLimits(
+    MonotonicTime since,
+    MonotonicTime now) const {
+  std::vector<UpstreamLimit> limits;
+  for (const UpstreamId& id : m_limited) {
+    const TrackedUpstream* upstream = m_table.Find(id);
+    if (upstream != nullptr && upstream->limit_answered >= since) {
+      limits.push_back(
+          {StableHash(id.Text()), upstream->rate_limit.Report(now)});
+    }
+  }
+  return limits;
+}
+
+void UpstreamRateLimiter::OnPermitRequest(Context& context,
+                                          const InstanceId& sender,
+                                          const PermitRequest& request) {
+  for (const PermitDemand& demand : request.demands) {
+    if (m_table.FindByHash(demand.upstream_hash) == nullptr) {
+      // Without its row the upstream's region isn't known, nor who issues.
+      continue;
+    }
+    OnPeerLimits(context, sender, {{demand.upstream_hash, demand.limit}});
+    m_issuer.SetDemand(sender, demand.upstream_hash, demand.wanted,
+                       demand.received, context.Now());
+    m_unanswered.emplace(sender, demand.upstream_hash);
+  }
+}
+
+void UpstreamRateLimiter::OnPermitGrant(Context& context,
+                                        const InstanceId& sender,
+                                        const PermitGrant& grant) {
+  const MonotonicTime now = context.Now();
+  for (const GrantedPermits& granted : grant.grants) {
+    TrackedUpstream* upstream = m_table.FindByHash(granted.upstream_hash);
+    if (upstream == nullptr) {
+      continue;
+    }
+    OnPeerLimits(context, sender, {{granted.upstream_hash, granted.limit}});
+    Ask& ask = m_asks[upstream->registration.id];
+    if (ask.issuer == sender) {
+      ask.unanswered_since.reset();
+    }
+    if (!granted.issuer.IsEmpty()) {
+      ask.last_sent.reset();
+      if (granted.issuer == context.Self().instance) {
+        // The sender knows no issuer in its region.
+        m_silent[sender] = now + kSilentTime;
+      } else if (ask.redirected_to == sender && now < ask.redirected_until) {
+        // Two instances that name each other don't agree yet on the issuer.
+        LoseIssuer(context, *upstream, ask);
+      } else {
+        ask.redirected_to = granted.issuer;
+        ask.redirected_until = now + kRedirectTime;
+      }
+      continue;
+    }
+    upstream->permits.SetIssuerFound();
+    const int count = std::clamp(granted.count, 0, PermitIssuer::kMaxWanted);
+    upstream->permits.SetForecast(std::max(Duration::zero(), granted.wait),
+                                  std::max(0, ask.wanted - count), now);
+    if (count > 0) {
+      upstream->permits.Add(count, now);
+      m_granted.insert(upstream->registration.id);
+    }
+  }
+}
+
+void UpstreamRateLimiter::Exchange(Context& context,
+                                   const EntryPresence& presence) {
+  if (m_limited.empty() && m_unanswered.empty()) {
+    return;
+  }
+  RequestPermits(context, presence);
+  IssuePermits(context, presence);
+  SendGrants(context, presence);
+}
+
+void UpstreamRateLimiter::RequestPermits(Context& context,
+                                         const EntryPresence& presence) {
+  std::map<InstanceId, PermitRequest> requests;
+  for (auto id = m_limited.begin(); id != m_limited.end();) {
+    TrackedUpstream* upstream = m_table.Find(*id);
+    const bool ended =
+        upstream == nullptr ||
+        (!upstream->rate_limit.Rate() &&
+         context.Now() - upstream->limit_answered >= kEndReportTime);
+    if (ended) {
+      m_asks.erase(*id);
+      id = m_limited.erase(id);
+      continue;
+    }
+    if (upstream->rate_limit.Rate()) {
+      UpdateDemand(context, presence, *upstream, requests);
+    }
+    ++id;
+  }
+  for (auto& [instance, request] : requests) {
+    if (const auto address = presence.FindAddress(instance)) {
+      context.SendTo(instance, address->peer_address, std::move(request));
+    }
+  }
+}
+
+void UpstreamRateLimiter::UpdateDemand(
+    Context& context,
+    const EntryPresence& presence,
+    TrackedUpstream& upstream,
+    std::map<InstanceId, PermitRequest>& requests) {
+  const MonotonicTime now = context.Now();
+  Ask& ask = m_asks[upstream.registration.id];
+  // Permits that can't be used at once would expire.
+  const double free_slots =
+      upstream.registration.slots * (1 + Placement::kMaxWaitingShare) -
+      UpstreamTable::EstimateOccupancy(upstream, now);
+  const int usable = std::max(0, static_cast<int>(std::ceil(free_slots)));
+  const int wanted = std::max(
+      0, std::min(upstream.awaited, usable) - upstream.permits.CountValid(now));
+  if ((wanted == 0 && ask.wanted == 0) || now < ask.paused_until) {
+    return;
+  }
+  const Duration elapsed =
+      ask.last_sent ? now - *ask.last_sent : Duration::max();
+  const bool overdue =
+      ask.unanswered_since && now - *ask.unanswered_since >= kReplyTimeout;
+  const bool due = overdue || elapsed >= kDemandRefresh ||
+                   (wanted != ask.wanted && elapsed >= kMinRequestInterval);
+  if (!due) {
+    return;
+  }
+  const std::optional<InstanceId> issuer =
+      FindIssuer(context, presence, upstream, ask);
+  if (!issuer) {
+    LoseIssuer(context, upstream, ask);
+    return;
+  }
+  if (ask.issuer != *issuer) {
+    ask.issuer = *issuer;
+    ask.unanswered_since.reset();
+  }
+  ask.wanted = wanted;
+  ask.last_sent = now;
+  const std::uint64_t hash = StableHash(upstream.registration.id.Text());
+  if (*issuer == context.Self().instance) {
+    upstream.permits.SetIssuerFound();
+    m_issuer.SetDemand(*issuer, hash, wanted, upstream.permits.Received(), now);
+    upstream.permits.SetForecast(
+        m_issuer.EstimateWait(hash, FindIssuedRate(context, upstream)), wanted,
+        now);
+    return;
+  }
+  if (!ask.unanswered_since) {
+    ask.unanswered_since = now;
+  }
+  requests[*issuer].demands.push_back({hash, wanted,
+                                       upstream.permits.Received(),
+                                       upstream.rate_limit.Report(now)});
+}
+
+std::optional<InstanceId> UpstreamRateLimiter::FindIssuer(
+    Context& context,
+    const EntryPresence& presence,
+    const TrackedUpstream& upstream,
+    Ask& ask) {
+  const MonotonicTime now = context.Now();
+  if (ask.unanswered_since && now - *ask.unanswered_since >= kReplyTimeout) {
+    context.Record("permit_issuer_silent", ask.issuer.Text(),
+                   {{"upstream", upstream.registration.id.Text()}});
+    m_silent[ask.issuer] = now + kSilentTime;
+    ask.unanswered_since.reset();
+    ask.redirected_to = InstanceId();
+  }
+  const std::set<InstanceId> silent = ListSilent(now);
+  if (!ask.redirected_to.IsEmpty() && now < ask.redirected_until) {
+    const bool reachable = ask.redirected_to != context.Self().instance &&
+                           !silent.contains(ask.redirected_to) &&
+                           presence.FindAddress(ask.redirected_to).has_value();
+    return reachable ? std::optional(ask.redirected_to) : std::nullopt;
+  }
+  const std::uint64_t hash = StableHash(upstream.registration.id.Text());
+  std::optional<InstanceAddress> coordinator =
+      presence.FindCoordinator(context, upstream.region, hash, silent);
+  if (!coordinator) {
+    coordinator = presence.FindCoordinator(
+        context, FindDeputyRegion(context, presence, upstream.region, hash),
+        hash, silent);
+  }
+  return coordinator ? std::optional(coordinator->instance) : std::nullopt;
+}
+
+RegionName UpstreamRateLimiter::FindDeputyRegion(const Context& context,
+                                                 const EntryPresence& presence,
+                                                 const RegionName& region,
+                                                 std::uint64_t upstream_hash) {
+  RegionName deputy;
+  std::uint64_t deputy_weight = 0;
+  for (const RegionName& candidate : presence.ListRegions(context)) {
+    const std::uint64_t weight = StableHash(candidate.Text(), upstream_hash);
+    if (candidate != region && (deputy.IsEmpty() || weight > deputy_weight)) {
+      deputy = candidate;
+      deputy_weight = weight;
+    }
+  }
+  return deputy;
+}
+
+std::set<InstanceId> UpstreamRateLimiter::ListSilent(MonotonicTime now) {
+  std::erase_if(m_silent,
+                [now](const auto& entry) { return now >= entry.second; });
+  std::set<InstanceId> silent;
+  for (const auto& [instance, until] : m_silent) {
+    silent.insert(instance);
+  }
+  return silent;
+}
+
+std::optional<InstanceId> UpstreamRateLimiter::FindOwnIssuer(
+    const Context& context,
+    const EntryPresence& presence,
+    const RegionName& region,
+    std::uint64_t upstream_hash) {
+  const MonotonicTime now = context.Now();
+  const auto [entry, inserted] = m_coordinators.try_emplace(upstream_hash);
+  CachedCoordinator& cached = entry->second;
+  if (inserted || now - cached.found >= kCoordinatorCacheTime) {
+    // Only requests that don't reach the upstream's region arrive in another.
+    const RegionName issuing =
+        region == context.Self().region
+            ? region
+            : FindDeputyRegion(context, presence, region, upstream_hash);
+    const std::optional<InstanceAddress> found =
+        presence.FindCoordinator(context, issuing, upstream_hash, {});
+    cached.instance = found ? std::optional(found->instance) : std::nullopt;
+    cached.found = now;
+  }
+  return cached.instance;
+}
+
+void UpstreamRateLimiter::LoseIssuer(Context& context,
+                                     TrackedUpstream& upstream,
+                                     Ask& ask) {
+  context.Record("permit_issuer_lost", upstream.registration.id.Text(),
+                 {{"last", ask.issuer.Text()}});
+  const MonotonicTime until = context.Now() + kRetryDelay;
+  upstream.permits.SetIssuerLost(until);
+  ask = Ask{};
+  ask.paused_until = until;
+}
+
+void UpstreamRateLimiter::IssuePermits(Context& context,
+                                       const EntryPresence& presence) {
+  const MonotonicTime now = context.Now();
+  for (const std::uint64_t hash : m_issuer.ListUpstreams()) {
+    const TrackedUpstream* upstream = m_table.FindByHash(hash);
+    if (upstream == nullptr) {
+      m_issuer.Forget(hash);
+      continue;
+    }
+    if (FindOwnIssuer(context, presence, upstream->region, hash) !=
+        context.Self().instance) {
+      m_issuer.Forget(hash);
+      continue;
+    }
+    const double rate = FindIssuedRate(context, *upstream);
+    for (const IssuedPermits& issued : m_issuer.Issue(hash, rate, now)) {
+      AddGrant(context, presence, issued.instance, hash, issued.count);
+      m_unanswered.erase({issued.instance, hash});
+    }
+  }
+  for (const auto& [instance, hash] : std::exchange(m_unanswered, {})) {
+    AddGrant(context, presence, instance, hash, 0);
+  }
+  m_issuer.DropIdle(now);
+  std::erase_if(m_coordinators, [now](const auto& entry) {
+    return now - entry.second.found >= PermitIssuer::kIdleTimeout;
+  });
+}
+
+void UpstreamRateLimiter::AddGrant(Context& context,
+                                   const EntryPresence& presence,
+                                   const InstanceId& instance,
+                                   std::uint64_t upstream_hash,
+                                   int count) {
+  TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
+  if (upstream == nullptr) {
+    return;
+  }
+  const MonotonicTime now = context.Now();
+  const Duration wait =
+      m_issuer.EstimateWait(upstream_hash, FindIssuedRate(context, *upstream));
+  if (instance == context.Self().instance) {
+    Ask& ask = m_asks[upstream->registration.id];
+    upstream->permits.SetForecast(wait, std::max(0, ask.wanted - count), now);
+    upstream->permits.Add(count, now);
+    m_granted.insert(upstream->registration.id);
+    return;
+  }
+  const std::optional<InstanceId> coordinator =
+      FindOwnIssuer(context, presence, upstream->region, upstream_hash);
+  GrantedPermits grant{upstream_hash, count, wait, InstanceId(),
+                       upstream->rate_limit.Report(now)};
+  if (coordinator != context.Self().instance) {
+    // Names the receiver if there is no issuer.
+    grant.issuer = coordinator.value_or(instance);
+  }
+  m_grants[instance].grants.push_back(grant);
+}
+
+void UpstreamRateLimiter::SendGrants(Context& context,
+                                     const EntryPresence& presence) {
+  for (auto& [instance, grant] : std::exchange(m_grants, {})) {
+    if (const auto address = presence.FindAddress(instance)) {
+      context.SendTo(instance, address->peer_address, std::move(grant));
+    }
+  }
+}
+
+}  // namespace kumquatcove
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -112,6 +112,11 @@
   return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+TrackedUpstream* UpstreamTable::FindByHash(std::uint64_t upstream_hash) {
+  const auto found = m_by_hash.find(upstream_hash);
+  return found == m_by_hash.end() ? nullptr : Find(found->second);
+}
+
 const std::vector<UpstreamId>& UpstreamTable::OfService(
     const ServiceName& service) const {
   static const std::vector<UpstreamId> kNone;
@@ -185,38 +190,36 @@
 void UpstreamTable::AddPeerLoad(std::uint64_t upstream_hash,
                                 int in_flight,
                                 int awaited) {
-  const auto found = m_by_hash.find(upstream_hash);
-  if (found == m_by_hash.end()) {
+  TrackedUpstream* upstream = FindByHash(upstream_hash);
+  if (upstream == nullptr) {
     return;
   }
   // An upstream may have been registered between two digests of a sender, so
   // that the counts could become negative.
-  TrackedUpstream& upstream = *Find(found->second);
-  upstream.peers_in_flight = std::max(0, upstream.peers_in_flight + in_flight);
-  upstream.peers_awaited = std::max(0, upstream.peers_awaited + awaited);
+  upstream->peers_in_flight =
+      std::max(0, upstream->peers_in_flight + in_flight);
+  upstream->peers_awaited = std::max(0, upstream->peers_awaited + awaited);
 }
 
 void UpstreamTable::OnSharedReport(const UpstreamLoad& load,
                                    MonotonicTime now) {
-  const auto found = m_by_hash.find(load.upstream_hash);
-  if (found == m_by_hash.end() || load.report_age < Duration::zero()) {
+  TrackedUpstream* upstream = FindByHash(load.upstream_hash);
+  if (upstream == nullptr || load.report_age < Duration::zero()) {
     return;
   }
-  TrackedUpstream& upstream = *Find(found->second);
   const MonotonicTime reported = now - load.report_age;
-  upstream.last_contact = std::max(upstream.last_contact, reported);
-  if (upstream.has_report && reported <= upstream.reported) {
+  upstream->last_contact = std::max(upstream->last_contact, reported);
+  if (upstream->has_report && reported <= upstream->reported) {
     return;
   }
-  SetReport(upstream, std::max(0, load.others), load.work_time_percent,
+  SetReport(*upstream, std::max(0, load.others), load.work_time_percent,
             reported);
-  upstream.own_report = false;
+  upstream->own_report = false;
 }
 
 void UpstreamTable::OnSharedObject(const HandledObject& handled) {
-  const auto found = m_by_hash.find(handled.upstream_hash);
-  if (found != m_by_hash.end()) {
-    Find(found->second)->objects.Record(handled.object_hash);
+  if (TrackedUpstream* upstream = FindByHash(handled.upstream_hash)) {
+    upstream->objects.Record(handled.object_hash);
   }
 }
 
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -11,6 +11,7 @@
 #include "base/clock_reading.h"
 #include "base/name.h"
 #include "dispatch/recent_objects.h"
+#include "dispatch/send_permits.h"
 #include "dispatch/stated_rate_limit.h"
 #include "dispatch/time_slot_pacer.h"
 #include "protocol/event.h"
@@ -63,6 +64,9 @@
   int connect_failures = 0;
 
   StatedRateLimit rate_limit;
+  /** Last answer to this instance that stated the limit, or its end. */
+  MonotonicTime limit_answered;
+  SendPermits permits;
   MonotonicTime cold_until;
   TimeSlotPacer pacer;
   RecentObjects objects;
@@ -101,6 +105,8 @@
    * that isn't const. */
   TrackedUpstream* Find(const UpstreamId& id);
   const TrackedUpstream* Find(const UpstreamId& id) const;
+  /** Returns the upstream with this StableHash of its id, or null. */
+  TrackedUpstream* FindByHash(std::uint64_t upstream_hash);
 
   /** Returns the ids of a service's upstreams, sorted. */
   const std::vector<UpstreamId>& OfService(const ServiceName& service) const;
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -103,6 +103,8 @@
   }
   /** Ignored: slot homes track the exact load in this kind of deployment. */
   void operator()(const LoadDigest& /*message*/) const {}
+  void operator()(const PermitRequest& /*message*/) const {}
+  void operator()(const PermitGrant& /*message*/) const {}
   void operator()(const CatalogueDelta& message) const {
     node.m_modules->configuration.OnCatalogueDelta(
         node.m_context, node.m_modules->members, from, message);
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -356,6 +356,77 @@
 };
 BOOST_DESCRIBE_STRUCT(HandledObject, (), (upstream_hash, object_hash))
 
+/** Rate limit that an upstream states, as known to the sender. */
+struct StatedLimit {
+  /** Requests per second; negative if the upstream states none any more. */
+  double rate = -1;
+  /** Time since an answer with the limit was received, or since a request was
+   * sent whose answer had none. */
+  Duration age{0};
+  friend bool operator==(const StatedLimit&, const StatedLimit&) = default;
+};
+BOOST_DESCRIBE_STRUCT(StatedLimit, (), (rate, age))
+
+struct UpstreamLimit {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  StatedLimit limit;
+  friend bool operator==(const UpstreamLimit&, const UpstreamLimit&) = default;
+};
+BOOST_DESCRIBE_STRUCT(UpstreamLimit, (), (upstream_hash, limit))
+
+/** Requests of the sender that wait for permits of an upstream. */
+struct PermitDemand {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  std::int32_t wanted = 0;
+  /** Number of permits of this upstream that the sender has received in the run
+   * of its process. */
+  std::uint64_t received = 0;
+  StatedLimit limit;
+  friend bool operator==(const PermitDemand&, const PermitDemand&) = default;
+};
+BOOST_DESCRIBE_STRUCT(PermitDemand,
+                      (),
+                      (upstream_hash, wanted, received, limit))
+
+/** Requests permits to send requests to upstreams that state a rate limit;
+ * answered by PermitGrant. Each demand replaces the sender's last one for that
+ * upstream. */
+struct PermitRequest {
+  static constexpr std::string_view kName = "permit_request";
+  std::vector<PermitDemand> demands;
+  friend bool operator==(const PermitRequest&, const PermitRequest&) = default;
+};
+BOOST_DESCRIBE_STRUCT(PermitRequest, (), (demands))
+
+/** Permits for the receiver, each for one request to the upstream. */
+struct GrantedPermits {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  std::int32_t count = 0;
+  /** Expected time until a further request of the receiver gets a permit. */
+  Duration wait{0};
+  /** The sender isn't the issuer of the upstream's permits; according to it
+   * this instance is. Empty otherwise. */
+  InstanceId issuer;
+  StatedLimit limit;
+  friend bool operator==(const GrantedPermits&,
+                         const GrantedPermits&) = default;
+};
+BOOST_DESCRIBE_STRUCT(GrantedPermits,
+                      (),
+                      (upstream_hash, count, wait, issuer, limit))
+
+/** Answers PermitRequest, at once and again whenever permits become available.
+ */
+struct PermitGrant {
+  static constexpr std::string_view kName = "permit_grant";
+  std::vector<GrantedPermits> grants;
+  friend bool operator==(const PermitGrant&, const PermitGrant&) = default;
+};
+BOOST_DESCRIBE_STRUCT(PermitGrant, (), (grants))
+
 /** Load that an instance causes at upstreams, and the information it has
  * received about them since its last digest. Upstreams that are not listed have
  * no load. */
@@ -368,11 +439,15 @@
    * table and from the upstreams table of the store. */
   std::int64_t operator_version = 0;
   std::int64_t upstreams_version = 0;
+  /** Rate limits that upstreams have stated to the sender, or stopped to state.
+   */
+  std::vector<UpstreamLimit> limits;
   friend bool operator==(const LoadDigest&, const LoadDigest&) = default;
 };
-BOOST_DESCRIBE_STRUCT(LoadDigest,
-                      (),
-                      (upstreams, handled, operator_version, upstreams_version))
+BOOST_DESCRIBE_STRUCT(
+    LoadDigest,
+    (),
+    (upstreams, handled, operator_version, upstreams_version, limits))
 
 using PeerMessage = std::variant<Gossip,
                                  SlotRequest,
@@ -389,7 +464,9 @@
                                  CatalogueRequest,
                                  CatalogueDelta,
                                  SlotQueued,
-                                 LoadDigest>;
+                                 LoadDigest,
+                                 PermitRequest,
+                                 PermitGrant>;
 
 }  // namespace kumquatcove
 
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -5,6 +5,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include "base/hash.h"
 #include "base/json_codec.h"
 
 namespace kumquatcove {
@@ -161,6 +162,73 @@
   return receivers;
 }
 
+bool EntryPresence::HasCoordinatorAge(const Context& context,
+                                      std::int64_t incarnation) {
+  return context.Wall().microseconds - incarnation >=
+         kMinCoordinatorAge.count();
+}
+
+bool EntryPresence::MayCoordinate(const Context& context,
+                                  const Entry& entry) const {
+  if (entry.registration.region == context.Self().region) {
+    return IsUsable(context, entry) &&
+           HasCoordinatorAge(context, entry.incarnation);
+  }
+  if (!entry.last_contact) {
+    return true;
+  }
+  return entry.phase == InstancePhase::kServing &&
+         HasCoordinatorAge(context, entry.incarnation) &&
+         context.Now() <
+             *entry.last_contact + kHeartbeatTimeout * kRemoteHeartbeatRatio;
+}
+
+std::optional<InstanceAddress> EntryPresence::FindCoordinator(
+    const Context& context,
+    const RegionName& region,
+    std::uint64_t key,
+    const std::set<InstanceId>& excluded) const {
+  const Identity& self = context.Self();
+  std::optional<InstanceAddress> first;
+  std::uint64_t first_weight = 0;
+  const auto consider = [&](const InstanceId& instance,
+                            const std::string& address) {
+    const std::uint64_t weight = StableHash(instance.Text(), key);
+    if (!first || weight > first_weight) {
+      first = InstanceAddress{instance, address};
+      first_weight = weight;
+    }
+  };
+  if (region == self.region && m_phase == InstancePhase::kServing &&
+      HasCoordinatorAge(context, self.incarnation)) {
+    consider(self.instance, self.peer_address);
+  }
+  for (const auto& [instance, entry] : m_entries) {
+    if (entry.registration.region == region && !excluded.contains(instance) &&
+        MayCoordinate(context, entry)) {
+      consider(instance, entry.registration.peer_address);
+    }
+  }
+  return first;
+}
+
+std::set<RegionName> EntryPresence::ListRegions(const Context& context) const {
+  std::set<RegionName> regions = {context.Self().region};
+  for (const auto& [instance, entry] : m_entries) {
+    regions.insert(entry.registration.region);
+  }
+  return regions;
+}
+
+std::optional<InstanceAddress> EntryPresence::FindAddress(
+    const InstanceId& instance) const {
+  const auto found = m_entries.find(instance);
+  if (found == m_entries.end()) {
+    return std::nullopt;
+  }
+  return InstanceAddress{instance, found->second.registration.peer_address};
+}
+
 bool EntryPresence::IsFirstOfRegion(const Context& context) const {
   if (m_phase != InstancePhase::kServing || !m_serving_since ||
       context.Now() < *m_serving_since + kDiscoveryTime) {
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
   /** Maximum number of instances that receive this instance's load, since each
    * sender costs its receivers some messages per second. */
   static constexpr std::size_t kMaxLoadReceivers = 24;
+  /** Time since its start after which an instance coordinates anything; the
+   * instances of its region know it by then. */
+  static constexpr Duration kMinCoordinatorAge = Seconds(4);
   /** Time without a heartbeat after which an instance is left out of lookup
    * answers. It spans three heartbeats, as one may be lost and a second one
    * late. */
@@ -71,6 +75,23 @@
    * all live ones, but at most kMaxLoadReceivers. */
   std::vector<InstanceAddress> FindLoadReceivers(const Context& context) const;
 
+  /** Returns the instance of a region that coordinates `key`: the first by
+   * rendezvous hashing among those that are alive and have run for
+   * kMinCoordinatorAge, so that the instances of the region agree on it. It may
+   * be this instance; `std::nullopt` if there is none. Instances in `excluded`
+   * are left out. */
+  std::optional<InstanceAddress> FindCoordinator(
+      const Context& context,
+      const RegionName& region,
+      std::uint64_t key,
+      const std::set<InstanceId>& excluded) const;
+
+  /** Returns the regions with instances, including the own one. */
+  std::set<RegionName> ListRegions(const Context& context) const;
+
+  /** Returns the address of an instance; `std::nullopt` if it isn't known. */
+  std::optional<InstanceAddress> FindAddress(const InstanceId& instance) const;
+
   /** Returns whether this instance has the smallest id among the serving
    * instances of its region; false until kDiscoveryTime after it began to
    * serve, as it may not have discovered the others before. */
@@ -109,6 +130,11 @@
   Gossip MakeHeartbeat(const Context& context);
   void Register(Context& context);
   bool IsUsable(const Context& context, const Entry& entry) const;
+  /** Returns whether an instance may be a coordinator. Instances of other
+   * regions, which send few heartbeats, may have ended unnoticed. */
+  bool MayCoordinate(const Context& context, const Entry& entry) const;
+  static bool HasCoordinatorAge(const Context& context,
+                                std::int64_t incarnation);
 
   std::string m_key_prefix;
   InstancePhase m_phase = InstancePhase::kJoining;
--- a/src/wire/envelope_codec_test.cc
+++ b/src/wire/envelope_codec_test.cc
@@ -31,6 +31,8 @@
     return T(MakeText(random));
   } else if constexpr (std::is_same_v<T, bool>) {
     return random.NextBelow(2) == 1;
+  } else if constexpr (std::is_floating_point_v<T>) {
+    return random.NextFraction() - 0.5;
   } else if constexpr (std::is_integral_v<T>) {
     return static_cast<T>(random.Next());
   } else if constexpr (std::is_same_v<T, Duration>) {
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -40,6 +40,8 @@
     catalogueDelta @13 :CatalogueDelta;
     slotQueued @14 :SlotQueued;
     loadDigest @15 :LoadDigest;
+    permitRequest @16 :PermitRequest;
+    permitGrant @17 :PermitGrant;
   }
 }
 
@@ -226,6 +228,40 @@
   handled @1 :List(HandledObject);
   operatorVersion @2 :Int64;
   upstreamsVersion @3 :Int64;
+  limits @4 :List(UpstreamLimit);
+}
+
+struct StatedLimit {
+  rate @0 :Float64;
+  age @1 :Int64;
+}
+
+struct UpstreamLimit {
+  upstreamHash @0 :UInt64;
+  limit @1 :StatedLimit;
+}
+
+struct PermitDemand {
+  upstreamHash @0 :UInt64;
+  wanted @1 :Int32;
+  received @2 :UInt64;
+  limit @3 :StatedLimit;
+}
+
+struct PermitRequest {
+  demands @0 :List(PermitDemand);
+}
+
+struct GrantedPermits {
+  upstreamHash @0 :UInt64;
+  count @1 :Int32;
+  wait @2 :Int64;
+  issuer @3 :Text;
+  limit @4 :StatedLimit;
+}
+
+struct PermitGrant {
+  grants @0 :List(GrantedPermits);
 }
 
 struct SuspicionAck {
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -125,6 +125,12 @@
 CAPNP_DECLARE_SCHEMA(91559c45bc3a9722);
 CAPNP_DECLARE_SCHEMA(e83c91b93747206d);
 CAPNP_DECLARE_SCHEMA(c907469322ea2370);
+CAPNP_DECLARE_SCHEMA(b6b53b8af6621b4d);
+CAPNP_DECLARE_SCHEMA(e078536cce6566d2);
+CAPNP_DECLARE_SCHEMA(9f99b684fdf50e81);
+CAPNP_DECLARE_SCHEMA(8ea495e9702632ae);
+CAPNP_DECLARE_SCHEMA(88794d63086e2d0b);
+CAPNP_DECLARE_SCHEMA(832fb11c2389556f);
 CAPNP_DECLARE_SCHEMA(da97ca8a2f38086a);
 CAPNP_DECLARE_SCHEMA(95aa7598484eb104);
 CAPNP_DECLARE_SCHEMA(bfb37017736a16c8);
@@ -253,6 +259,8 @@
     CATALOGUE_DELTA,
     SLOT_QUEUED,
     LOAD_DIGEST,
+    PERMIT_REQUEST,
+    PERMIT_GRANT,
   };
 
   struct _capnpPrivate {
@@ -602,7 +610,97 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StatedLimit {
+  StatedLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b6b53b8af6621b4d, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e078536cce6566d2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitDemand {
+  PermitDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f99b684fdf50e81, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ea495e9702632ae, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GrantedPermits {
+  GrantedPermits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88794d63086e2d0b, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitGrant {
+  PermitGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(832fb11c2389556f, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1294,6 +1392,14 @@
   inline bool hasLoadDigest() const;
   inline  ::kumquatcove::schema::LoadDigest::Reader getLoadDigest() const;
 
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline  ::kumquatcove::schema::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitGrant() const;
+  inline bool hasPermitGrant() const;
+  inline  ::kumquatcove::schema::PermitGrant::Reader getPermitGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1451,6 +1557,22 @@
   inline void adoptLoadDigest(::capnp::Orphan< ::kumquatcove::schema::LoadDigest>&& value);
   inline ::capnp::Orphan< ::kumquatcove::schema::LoadDigest> disownLoadDigest();
 
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline  ::kumquatcove::schema::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::kumquatcove::schema::PermitRequest::Reader value);
+  inline  ::kumquatcove::schema::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::kumquatcove::schema::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitGrant();
+  inline bool hasPermitGrant();
+  inline  ::kumquatcove::schema::PermitGrant::Builder getPermitGrant();
+  inline void setPermitGrant( ::kumquatcove::schema::PermitGrant::Reader value);
+  inline  ::kumquatcove::schema::PermitGrant::Builder initPermitGrant();
+  inline void adoptPermitGrant(::capnp::Orphan< ::kumquatcove::schema::PermitGrant>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::PermitGrant> disownPermitGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3555,6 +3677,9 @@
 
   inline  ::int64_t getUpstreamsVersion() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3603,6 +3728,13 @@
   inline  ::int64_t getUpstreamsVersion();
   inline void setUpstreamsVersion( ::int64_t value);
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3629,9 +3761,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SuspicionAck::Reader {
+class StatedLimit::Reader {
 public:
-  typedef SuspicionAck Reads;
+  typedef StatedLimit Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3646,9 +3778,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getContentHash() const;
+  inline double getRate() const;
 
-  inline  ::kumquatcove::schema::SuspicionLevel getLevel() const;
+  inline  ::int64_t getAge() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3662,9 +3794,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SuspicionAck::Builder {
+class StatedLimit::Builder {
 public:
-  typedef SuspicionAck Builds;
+  typedef StatedLimit Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3678,11 +3810,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getContentHash();
-  inline void setContentHash( ::uint64_t value);
+  inline double getRate();
+  inline void setRate(double value);
 
-  inline  ::kumquatcove::schema::SuspicionLevel getLevel();
-  inline void setLevel( ::kumquatcove::schema::SuspicionLevel value);
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3694,9 +3826,9 @@
 };
 
 #if !CAPNP_LITE
-class SuspicionAck::Pipeline {
+class StatedLimit::Pipeline {
 public:
-  typedef SuspicionAck Pipelines;
+  typedef StatedLimit Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3710,9 +3842,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CatalogueRequest::Reader {
+class UpstreamLimit::Reader {
 public:
-  typedef CatalogueRequest Reads;
+  typedef UpstreamLimit Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3727,7 +3859,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getKnownRevision() const;
+  inline  ::uint64_t getUpstreamHash() const;
+
+  inline bool hasLimit() const;
+  inline  ::kumquatcove::schema::StatedLimit::Reader getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3741,9 +3876,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CatalogueRequest::Builder {
+class UpstreamLimit::Builder {
 public:
-  typedef CatalogueRequest Builds;
+  typedef UpstreamLimit Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3757,8 +3892,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getKnownRevision();
-  inline void setKnownRevision( ::int64_t value);
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
+
+  inline bool hasLimit();
+  inline  ::kumquatcove::schema::StatedLimit::Builder getLimit();
+  inline void setLimit( ::kumquatcove::schema::StatedLimit::Reader value);
+  inline  ::kumquatcove::schema::StatedLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> disownLimit();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3770,14 +3912,15 @@
 };
 
 #if !CAPNP_LITE
-class CatalogueRequest::Pipeline {
+class UpstreamLimit::Pipeline {
 public:
-  typedef CatalogueRequest Pipelines;
+  typedef UpstreamLimit Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kumquatcove::schema::StatedLimit::Pipeline getLimit();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3786,9 +3929,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CatalogueDelta::Reader {
+class PermitDemand::Reader {
 public:
-  typedef CatalogueDelta Reads;
+  typedef PermitDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3803,14 +3946,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getBaseRevision() const;
+  inline  ::uint64_t getUpstreamHash() const;
 
-  inline  ::int64_t getRevision() const;
+  inline  ::int32_t getWanted() const;
 
-  inline  ::uint64_t getDigest() const;
+  inline  ::uint64_t getReceived() const;
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool hasLimit() const;
+  inline  ::kumquatcove::schema::StatedLimit::Reader getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3824,9 +3967,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CatalogueDelta::Builder {
+class PermitDemand::Builder {
 public:
-  typedef CatalogueDelta Builds;
+  typedef PermitDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3840,21 +3983,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getBaseRevision();
-  inline void setBaseRevision( ::int64_t value);
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::int32_t getWanted();
+  inline void setWanted( ::int32_t value);
 
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
+  inline  ::uint64_t getReceived();
+  inline void setReceived( ::uint64_t value);
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool hasLimit();
+  inline  ::kumquatcove::schema::StatedLimit::Builder getLimit();
+  inline void setLimit( ::kumquatcove::schema::StatedLimit::Reader value);
+  inline  ::kumquatcove::schema::StatedLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> disownLimit();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3866,14 +4009,15 @@
 };
 
 #if !CAPNP_LITE
-class CatalogueDelta::Pipeline {
+class PermitDemand::Pipeline {
 public:
-  typedef CatalogueDelta Pipelines;
+  typedef PermitDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kumquatcove::schema::StatedLimit::Pipeline getLimit();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3882,9 +4026,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CatalogueEntry::Reader {
+class PermitRequest::Reader {
 public:
-  typedef CatalogueEntry Reads;
+  typedef PermitRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3899,15 +4043,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision() const;
-
-  inline  ::int64_t getCommitted() const;
-
-  inline bool hasBody() const;
-  inline  ::kumquatcove::schema::EntryBody::Reader getBody() const;
-
-  inline bool hasShiftStarts() const;
-  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getShiftStarts() const;
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3921,9 +4058,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CatalogueEntry::Builder {
+class PermitRequest::Builder {
 public:
-  typedef CatalogueEntry Builds;
+  typedef PermitRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3937,26 +4074,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
-
-  inline  ::int64_t getCommitted();
-  inline void setCommitted( ::int64_t value);
-
-  inline bool hasBody();
-  inline  ::kumquatcove::schema::EntryBody::Builder getBody();
-  inline void setBody( ::kumquatcove::schema::EntryBody::Reader value);
-  inline  ::kumquatcove::schema::EntryBody::Builder initBody();
-  inline void adoptBody(::capnp::Orphan< ::kumquatcove::schema::EntryBody>&& value);
-  inline ::capnp::Orphan< ::kumquatcove::schema::EntryBody> disownBody();
-
-  inline bool hasShiftStarts();
-  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getShiftStarts();
-  inline void setShiftStarts( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setShiftStarts(::kj::ArrayPtr<const  ::int64_t> value);
-  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initShiftStarts(unsigned int size);
-  inline void adoptShiftStarts(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownShiftStarts();
+  inline bool hasDemands();
+  inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3968,15 +4091,14 @@
 };
 
 #if !CAPNP_LITE
-class CatalogueEntry::Pipeline {
+class PermitRequest::Pipeline {
 public:
-  typedef CatalogueEntry Pipelines;
+  typedef PermitRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::kumquatcove::schema::EntryBody::Pipeline getBody();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3985,9 +4107,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryBody::Reader {
+class GrantedPermits::Reader {
 public:
-  typedef EntryBody Reads;
+  typedef GrantedPermits Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4002,14 +4124,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isService() const;
-  inline bool hasService() const;
-  inline  ::kumquatcove::schema::ServiceEntry::Reader getService() const;
+  inline  ::uint64_t getUpstreamHash() const;
 
-  inline bool isTopology() const;
-  inline bool hasTopology() const;
-  inline  ::kumquatcove::schema::TopologyEntry::Reader getTopology() const;
+  inline  ::int32_t getCount() const;
+
+  inline  ::int64_t getWait() const;
+
+  inline bool hasIssuer() const;
+  inline  ::capnp::Text::Reader getIssuer() const;
+
+  inline bool hasLimit() const;
+  inline  ::kumquatcove::schema::StatedLimit::Reader getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4023,9 +4148,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryBody::Builder {
+class GrantedPermits::Builder {
 public:
-  typedef EntryBody Builds;
+  typedef GrantedPermits Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4039,22 +4164,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isService();
-  inline bool hasService();
-  inline  ::kumquatcove::schema::ServiceEntry::Builder getService();
-  inline void setService( ::kumquatcove::schema::ServiceEntry::Reader value);
-  inline  ::kumquatcove::schema::ServiceEntry::Builder initService();
-  inline void adoptService(::capnp::Orphan< ::kumquatcove::schema::ServiceEntry>&& value);
-  inline ::capnp::Orphan< ::kumquatcove::schema::ServiceEntry> disownService();
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
 
-  inline bool isTopology();
-  inline bool hasTopology();
-  inline  ::kumquatcove::schema::TopologyEntry::Builder getTopology();
-  inline void setTopology( ::kumquatcove::schema::TopologyEntry::Reader value);
-  inline  ::kumquatcove::schema::TopologyEntry::Builder initTopology();
-  inline void adoptTopology(::capnp::Orphan< ::kumquatcove::schema::TopologyEntry>&& value);
-  inline ::capnp::Orphan< ::kumquatcove::schema::TopologyEntry> disownTopology();
+  inline  ::int32_t getCount();
+  inline void setCount( ::int32_t value);
+
+  inline  ::int64_t getWait();
+  inline void setWait( ::int64_t value);
+
+  inline bool hasIssuer();
+  inline  ::capnp::Text::Builder getIssuer();
+  inline void setIssuer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIssuer(unsigned int size);
+  inline void adoptIssuer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIssuer();
+
+  inline bool hasLimit();
+  inline  ::kumquatcove::schema::StatedLimit::Builder getLimit();
+  inline void setLimit( ::kumquatcove::schema::StatedLimit::Reader value);
+  inline  ::kumquatcove::schema::StatedLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> disownLimit();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4066,14 +4197,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryBody::Pipeline {
+class GrantedPermits::Pipeline {
 public:
-  typedef EntryBody Pipelines;
+  typedef GrantedPermits Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::kumquatcove::schema::StatedLimit::Pipeline getLimit();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4082,9 +4214,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ServiceNames::Reader {
+class PermitGrant::Reader {
 public:
-  typedef ServiceNames Reads;
+  typedef PermitGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4099,14 +4231,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHost() const;
-
-  inline bool hasPath() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPath() const;
-
-  inline bool hasCode() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCode() const;
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4120,9 +4246,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ServiceNames::Builder {
+class PermitGrant::Builder {
 public:
-  typedef ServiceNames Builds;
+  typedef PermitGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4136,29 +4262,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHost();
-  inline void setHost( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setHost(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHost();
-
-  inline bool hasPath();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPath();
-  inline void setPath( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPath(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPath();
-
-  inline bool hasCode();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getCode();
-  inline void setCode( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setCode(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initCode(unsigned int size);
-  inline void adoptCode(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCode();
+  inline bool hasGrants();
+  inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>> disownGrants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4170,9 +4279,9 @@
 };
 
 #if !CAPNP_LITE
-class ServiceNames::Pipeline {
+class PermitGrant::Pipeline {
 public:
-  typedef ServiceNames Pipelines;
+  typedef PermitGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4186,9 +4295,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class UpstreamDeclaration::Reader {
+class SuspicionAck::Reader {
 public:
-  typedef UpstreamDeclaration Reads;
+  typedef SuspicionAck Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4203,16 +4312,573 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::uint64_t getContentHash() const;
 
-  inline bool getDrained() const;
+  inline  ::kumquatcove::schema::SuspicionLevel getLevel() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspicionAck::Builder {
+public:
+  typedef SuspicionAck Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContentHash();
+  inline void setContentHash( ::uint64_t value);
+
+  inline  ::kumquatcove::schema::SuspicionLevel getLevel();
+  inline void setLevel( ::kumquatcove::schema::SuspicionLevel value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspicionAck::Pipeline {
+public:
+  typedef SuspicionAck Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CatalogueRequest::Reader {
+public:
+  typedef CatalogueRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getKnownRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CatalogueRequest::Builder {
+public:
+  typedef CatalogueRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getKnownRevision();
+  inline void setKnownRevision( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CatalogueRequest::Pipeline {
+public:
+  typedef CatalogueRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CatalogueDelta::Reader {
+public:
+  typedef CatalogueDelta Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getBaseRevision() const;
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::uint64_t getDigest() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CatalogueDelta::Builder {
+public:
+  typedef CatalogueDelta Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getBaseRevision();
+  inline void setBaseRevision( ::int64_t value);
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::CatalogueEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CatalogueDelta::Pipeline {
+public:
+  typedef CatalogueDelta Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CatalogueEntry::Reader {
+public:
+  typedef CatalogueEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::int64_t getCommitted() const;
+
+  inline bool hasBody() const;
+  inline  ::kumquatcove::schema::EntryBody::Reader getBody() const;
+
+  inline bool hasShiftStarts() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getShiftStarts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CatalogueEntry::Builder {
+public:
+  typedef CatalogueEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::int64_t getCommitted();
+  inline void setCommitted( ::int64_t value);
+
+  inline bool hasBody();
+  inline  ::kumquatcove::schema::EntryBody::Builder getBody();
+  inline void setBody( ::kumquatcove::schema::EntryBody::Reader value);
+  inline  ::kumquatcove::schema::EntryBody::Builder initBody();
+  inline void adoptBody(::capnp::Orphan< ::kumquatcove::schema::EntryBody>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::EntryBody> disownBody();
+
+  inline bool hasShiftStarts();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getShiftStarts();
+  inline void setShiftStarts( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setShiftStarts(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initShiftStarts(unsigned int size);
+  inline void adoptShiftStarts(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownShiftStarts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CatalogueEntry::Pipeline {
+public:
+  typedef CatalogueEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::kumquatcove::schema::EntryBody::Pipeline getBody();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryBody::Reader {
+public:
+  typedef EntryBody Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isService() const;
+  inline bool hasService() const;
+  inline  ::kumquatcove::schema::ServiceEntry::Reader getService() const;
+
+  inline bool isTopology() const;
+  inline bool hasTopology() const;
+  inline  ::kumquatcove::schema::TopologyEntry::Reader getTopology() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryBody::Builder {
+public:
+  typedef EntryBody Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isService();
+  inline bool hasService();
+  inline  ::kumquatcove::schema::ServiceEntry::Builder getService();
+  inline void setService( ::kumquatcove::schema::ServiceEntry::Reader value);
+  inline  ::kumquatcove::schema::ServiceEntry::Builder initService();
+  inline void adoptService(::capnp::Orphan< ::kumquatcove::schema::ServiceEntry>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::ServiceEntry> disownService();
+
+  inline bool isTopology();
+  inline bool hasTopology();
+  inline  ::kumquatcove::schema::TopologyEntry::Builder getTopology();
+  inline void setTopology( ::kumquatcove::schema::TopologyEntry::Reader value);
+  inline  ::kumquatcove::schema::TopologyEntry::Builder initTopology();
+  inline void adoptTopology(::capnp::Orphan< ::kumquatcove::schema::TopologyEntry>&& value);
+  inline ::capnp::Orphan< ::kumquatcove::schema::TopologyEntry> disownTopology();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryBody::Pipeline {
+public:
+  typedef EntryBody Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ServiceNames::Reader {
+public:
+  typedef ServiceNames Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHost() const;
+
+  inline bool hasPath() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPath() const;
+
+  inline bool hasCode() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getCode() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceNames::Builder {
+public:
+  typedef ServiceNames Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHost();
+  inline void setHost( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHost(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHost();
+
+  inline bool hasPath();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPath();
+  inline void setPath( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPath(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPath();
+
+  inline bool hasCode();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getCode();
+  inline void setCode( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setCode(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initCode(unsigned int size);
+  inline void adoptCode(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownCode();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceNames::Pipeline {
+public:
+  typedef ServiceNames Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamDeclaration::Reader {
+public:
+  typedef UpstreamDeclaration Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getDrained() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6053,23 +6719,131 @@
   ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::kumquatcove::schema::LoadDigest::Builder PeerMessage::Builder::initLoadDigest() {
+inline  ::kumquatcove::schema::LoadDigest::Builder PeerMessage::Builder::initLoadDigest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptLoadDigest(
+    ::capnp::Orphan< ::kumquatcove::schema::LoadDigest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::LoadDigest> PeerMessage::Builder::disownLoadDigest() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD_DIGEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isPermitRequest() const {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline bool PeerMessage::Builder::isPermitRequest() {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline bool PeerMessage::Reader::hasPermitRequest() const {
+  if (which() != PeerMessage::PERMIT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasPermitRequest() {
+  if (which() != PeerMessage::PERMIT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::PermitRequest::Reader PeerMessage::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::PermitRequest::Builder PeerMessage::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setPermitRequest( ::kumquatcove::schema::PermitRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::PermitRequest::Builder PeerMessage::Builder::initPermitRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::kumquatcove::schema::PermitRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::PermitRequest> PeerMessage::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isPermitGrant() const {
+  return which() == PeerMessage::PERMIT_GRANT;
+}
+inline bool PeerMessage::Builder::isPermitGrant() {
+  return which() == PeerMessage::PERMIT_GRANT;
+}
+inline bool PeerMessage::Reader::hasPermitGrant() const {
+  if (which() != PeerMessage::PERMIT_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasPermitGrant() {
+  if (which() != PeerMessage::PERMIT_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::PermitGrant::Reader PeerMessage::Reader::getPermitGrant() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::PermitGrant::Builder PeerMessage::Builder::getPermitGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setPermitGrant( ::kumquatcove::schema::PermitGrant::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::PermitGrant::Builder PeerMessage::Builder::initPermitGrant() {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
-  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_GRANT);
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::adoptLoadDigest(
-    ::capnp::Orphan< ::kumquatcove::schema::LoadDigest>&& value) {
+inline void PeerMessage::Builder::adoptPermitGrant(
+    ::capnp::Orphan< ::kumquatcove::schema::PermitGrant>&& value) {
   _builder.setDataField<PeerMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::LOAD_DIGEST);
-  ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::kumquatcove::schema::LoadDigest> PeerMessage::Builder::disownLoadDigest() {
-  KJ_IREQUIRE((which() == PeerMessage::LOAD_DIGEST),
+inline ::capnp::Orphan< ::kumquatcove::schema::PermitGrant> PeerMessage::Builder::disownPermitGrant() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_GRANT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::LoadDigest>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::PermitGrant>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -7957,6 +8731,385 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadDigest::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setLimits( ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline double StatedLimit::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double StatedLimit::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StatedLimit::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StatedLimit::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StatedLimit::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StatedLimit::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UpstreamLimit::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamLimit::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLimit::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::StatedLimit::Reader UpstreamLimit::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder UpstreamLimit::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kumquatcove::schema::StatedLimit::Pipeline UpstreamLimit::Pipeline::getLimit() {
+  return  ::kumquatcove::schema::StatedLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void UpstreamLimit::Builder::setLimit( ::kumquatcove::schema::StatedLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder UpstreamLimit::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamLimit::Builder::adoptLimit(
+    ::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> UpstreamLimit::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitDemand::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitDemand::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitDemand::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t PermitDemand::Reader::getWanted() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t PermitDemand::Builder::getWanted() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitDemand::Builder::setWanted( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitDemand::Reader::getReceived() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitDemand::Builder::getReceived() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitDemand::Builder::setReceived( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitDemand::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitDemand::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::StatedLimit::Reader PermitDemand::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder PermitDemand::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kumquatcove::schema::StatedLimit::Pipeline PermitDemand::Pipeline::getLimit() {
+  return  ::kumquatcove::schema::StatedLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitDemand::Builder::setLimit( ::kumquatcove::schema::StatedLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder PermitDemand::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitDemand::Builder::adoptLimit(
+    ::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> PermitDemand::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PermitRequest::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Reader PermitRequest::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Builder PermitRequest::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::setDemands( ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>::Builder PermitRequest::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitRequest::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>> PermitRequest::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t GrantedPermits::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GrantedPermits::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GrantedPermits::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t GrantedPermits::Reader::getCount() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t GrantedPermits::Builder::getCount() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GrantedPermits::Builder::setCount( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t GrantedPermits::Reader::getWait() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantedPermits::Builder::getWait() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GrantedPermits::Builder::setWait( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantedPermits::Reader::hasIssuer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantedPermits::Builder::hasIssuer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GrantedPermits::Reader::getIssuer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GrantedPermits::Builder::getIssuer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GrantedPermits::Builder::setIssuer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GrantedPermits::Builder::initIssuer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GrantedPermits::Builder::adoptIssuer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GrantedPermits::Builder::disownIssuer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GrantedPermits::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantedPermits::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::kumquatcove::schema::StatedLimit::Reader GrantedPermits::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder GrantedPermits::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::kumquatcove::schema::StatedLimit::Pipeline GrantedPermits::Pipeline::getLimit() {
+  return  ::kumquatcove::schema::StatedLimit::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void GrantedPermits::Builder::setLimit( ::kumquatcove::schema::StatedLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::kumquatcove::schema::StatedLimit::Builder GrantedPermits::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GrantedPermits::Builder::adoptLimit(
+    ::capnp::Orphan< ::kumquatcove::schema::StatedLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::kumquatcove::schema::StatedLimit> GrantedPermits::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::kumquatcove::schema::StatedLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PermitGrant::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitGrant::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Reader PermitGrant::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Builder PermitGrant::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitGrant::Builder::setGrants( ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>::Builder PermitGrant::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitGrant::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>> PermitGrant::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::GrantedPermits,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SuspicionAck::Reader::getContentHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
