Divide the connections that an upstream accepts among the instances

Cause: the same class as the rate limits: a limit on the sum over all instances that no instance keeps alone. The accepted connections were read from the configuration and never used; with hundreds of instances each request leaves its own idle connection for up to 4 s.

Change: of the accepted connections half may be idle, divided by the number of instances; a connection beyond that is closed after its answer.

Result: the new test failed before (4 idle connections where 3 are allowed) and passes; dispatch and dispatch_cluster pass.

--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -505,4 +506,27 @@
   }));
 }
 
+TEST_CASE(
+    "The idle connections of all instances stay within what an upstream "
+    "accepts") {
+  FakeDispatchWorld world;
+  world.codec.max_connections = 24;
+  world.AddUpstream("v1", "vitrina");
+  world.Start(kRoutes);
+  for (const char* instance : {"e2", "e3", "e4"}) {
+    world.ReceiveHeartbeat(instance, "lima");
+  }
+  world.AdvanceTime(Milliseconds(20));
+  for (int i = 0; i < 4; ++i) {
+    world.Request("/browse/" + std::to_string(i));
+  }
+  REQUIRE(world.sends.size() == 4);
+  for (std::size_t i = 0; i < 4; ++i) {
+    world.Reply(i, world.Answer(200));
+  }
+  // A quarter of the half that may be idle.
+  CHECK(std::count_if(world.sends.begin(), world.sends.end(),
+                      [](const FakeSend& send) { return !send.closed; }) == 3);
+}
+
 }  // namespace kumquatcove
--- a/src/dispatch/idle_connections.cc
+++ b/src/dispatch/idle_connections.cc
@@ -36,6 +36,11 @@
   return newest.connection;
 }
 
+std::size_t IdleConnections::Count(const UpstreamId& upstream) const {
+  const auto found = m_upstreams.find(upstream);
+  return found == m_upstreams.end() ? 0 : found->second.size();
+}
+
 bool IdleConnections::Remove(ConnectionId connection) {
   const auto found = m_connections.find(connection);
   if (found == m_connections.end()) {
--- a/src/dispatch/idle_connections.h
+++ b/src/dispatch/idle_connections.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_IDLE_CONNECTIONS_H_
 #define DISPATCH_IDLE_CONNECTIONS_H_
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -42,6 +43,9 @@
                                    bool idempotent,
                                    MonotonicTime now);
 
+  /** Returns the number of idle connections to an upstream. */
+  std::size_t Count(const UpstreamId& upstream) const;
+
   /** Removes a lost connection. Returns false if it isn't idle. */
   bool Remove(ConnectionId connection);
 
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -34,6 +34,10 @@
 // A request that has less time left than this isn't sent any more.
 constexpr Duration kMinSendTime = Milliseconds(20);
 
+// Share of the connections that an upstream accepts from all instances which
+// may be idle; the others are for requests.
+constexpr double kMaxIdleShare = 0.5;
+
 // For callers that state no deadline; the timeout of the route bounds it.
 constexpr Duration kDefaultDeadline = Seconds(10);
 
@@ -569,18 +573,10 @@
   }
   m_rate_limiter.OnAnswer(context, send.upstream, request->id, event,
                           send.sent_at);
+  const ServiceName service = request->service;
   if (event.keep_alive) {
-    const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
-    const bool keep = upstream != nullptr && !upstream->leaving &&
-                      !event.draining && !event.wrong_upstream;
-    if (keep) {
-      m_idle.Add(send.upstream, event.connection, event.idle_limit,
-                 context.Now());
-    } else {
-      context.Emit(CloseConnection{event.connection});
-    }
+    KeepOrClose(context, service, send.upstream, event);
   }
-  const ServiceName service = request->service;
   if (rejected) {
     OnRejected(context, *request, event);
   } else {
@@ -596,6 +592,31 @@
   PlaceWaiting(context, service);
 }
 
+void RequestDispatcher::KeepOrClose(Context& context,
+                                    const ServiceName& service,
+                                    const UpstreamId& id,
+                                    const UpstreamAnswered& event) {
+  const TrackedUpstream* upstream = m_upstreams.Find(id);
+  const bool is_usable = upstream != nullptr && !upstream->leaving &&
+                         !event.draining && !event.wrong_upstream;
+  if (is_usable && MayKeepIdle(service, id)) {
+    m_idle.Add(id, event.connection, event.idle_limit, context.Now());
+  } else {
+    context.Emit(CloseConnection{event.connection});
+  }
+}
+
+bool RequestDispatcher::MayKeepIdle(const ServiceName& service,
+                                    const UpstreamId& upstream) const {
+  const ServiceTraits* traits = m_routes->FindService(service);
+  if (traits == nullptr) {
+    return true;
+  }
+  const double share =
+      traits->max_connections * kMaxIdleShare / std::max(m_counts.in_total, 1);
+  return static_cast<double>(m_idle.Count(upstream)) + 1 <= share;
+}
+
 void RequestDispatcher::OnRejected(Context& context,
                                    DispatchRequest& request,
                                    const UpstreamAnswered& event) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -151,6 +151,16 @@
 
   // Results.
   void CloseIdle(Context& context, const UpstreamId& upstream);
+  /** Keeps the connection of an answer for another request if it may be used
+   * again, otherwise closes it. */
+  void KeepOrClose(Context& context,
+                   const ServiceName& service,
+                   const UpstreamId& upstream,
+                   const UpstreamAnswered& event);
+  /** Returns whether this instance's share of the connections that an upstream
+   * accepts allows another idle one. */
+  bool MayKeepIdle(const ServiceName& service,
+                   const UpstreamId& upstream) const;
   void EndSend(Context& context, DispatchRequest& request, SendResult result);
   void OnOpenFailed(Context& context, DispatchRequest& request);
   void OnBroken(Context& context, DispatchRequest& request);
--- a/src/registry/fake_registry_codec.h
+++ b/src/registry/fake_registry_codec.h
@@ -54,6 +54,8 @@
   /** Timeout of all routes. */
   Duration timeout = Seconds(1);
   std::int32_t max_upstreams = 2;
+  /** Connections that an upstream accepts from all instances. */
+  std::int32_t max_connections = 400;
   /** Home regions of all routes. */
   std::vector<RegionName> home_regions;
 
@@ -78,6 +80,7 @@
       ServiceTraits traits;
       traits.service = ServiceName(service);
       traits.cold_requests_per_second = 6;
+      traits.max_connections = max_connections;
       configuration.services.push_back(traits);
     }
     return configuration;
