Log the store's era and the rows that are ignored as outdated

Change: the adapter reads the era from each answer, errors too, into StoreReply; the followers of tables log when it rises, and each row that is ignored because a version at least as high is held. Nothing acts on the era yet.

--- a/src/platform/user_platform_dialect_test.cc
+++ b/src/platform/user_platform_dialect_test.cc
@@ -199,6 +199,22 @@
   CHECK(ReadReply(watch, 500, "").status == StoreStatus::kUnknown);
 }
 
+TEST_CASE("Each reply of the store has its era, also an error") {
+  const StoreWatch watch{"op/", 1, Seconds(1)};
+  const auto read = [&](std::int32_t status, const std::string& era) {
+    return ReadUserStoreReply(
+        watch, Answer(status, {{"Store-Era", era}}, R"({"rows":[],"ver":4})"));
+  };
+  CHECK(read(200, "3").era == 3);
+  CHECK(read(410, "4").era == 4);
+  CHECK(read(503, "4").era == 4);
+  CHECK(read(500, "4").era == 4);
+  CHECK(read(200, "").era == 0);
+  CHECK(read(200, "-1").era == 0);
+  CHECK(read(200, "new").era == 0);
+  CHECK(read(200, "new").status == StoreStatus::kOk);
+}
+
 TEST_CASE("A condition that doesn't hold gives the rows as they are") {
   StoreTransaction transaction;
   transaction.conditions = {{"t/k", 3}};
--- a/src/platform/user_store_codec.cc
+++ b/src/platform/user_store_codec.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -24,6 +25,8 @@
 
 namespace json = boost::json;
 
+constexpr std::string_view kEraHeader = "Store-Era";
+
 constexpr std::int32_t kOk = 200;
 constexpr std::int32_t kFirstRedirect = 300;
 constexpr std::int32_t kNotFound = 404;
@@ -205,6 +208,16 @@
   }
 };
 
+std::int64_t ReadEra(const HttpAnswer& answer) {
+  const std::string text = FindHeader(answer.headers, kEraHeader);
+  std::int64_t era = 0;
+  if (!text.empty() && (!absl::SimpleAtoi(text, &era) || era < 0)) {
+    LogWarning(LogLine("store_era_unreadable").Add("value", text));
+    return 0;
+  }
+  return era;
+}
+
 bool IsReply(const StoreOperation& operation, std::int32_t status) {
   const bool conflict = status == kPreconditionFailed &&
                         std::holds_alternative<StoreWrite>(operation);
@@ -222,6 +235,7 @@
 StoreReply ReadUserStoreReply(const StoreOperation& operation,
                               const HttpAnswer& answer) {
   StoreReply reply;
+  reply.era = ReadEra(answer);
   if (answer.status == kUnavailable || answer.status == kTooManyRequests) {
     reply.status = StoreStatus::kRefused;
     return reply;
@@ -240,7 +254,9 @@
     return reply;
   } catch (const std::exception& error) {
     LogWarning(LogLine("store_reply_invalid").Add("problem", error.what()));
-    return StoreReply{};
+    reply = StoreReply{};
+    reply.era = ReadEra(answer);
+    return reply;
   }
 }
 
--- a/src/protocol/store_operation.h
+++ b/src/protocol/store_operation.h
@@ -145,8 +145,8 @@
 };
 BOOST_DESCRIBE_STRUCT(StoreTransactionResult, (), (committed, rows))
 
-/** Reply of the store. The operation determines which members are set; all are
- * empty unless the status is kOk. */
+/** Reply of the store. The operation determines which members are set; all but
+ * `era` are empty unless the status is kOk. */
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnknown;
   /** Set for StoreRead in the requested order, for StoreScan sorted by key, and
@@ -160,11 +160,15 @@
   bool more = false;
   /** Newest version that the rows of a StoreScan or StoreWatch reflect. */
   std::int64_t version = 0;
+  /** Era of the store, set for any status; it rises each time the store is
+   * restored from an older copy. Versions order changes within one era only,
+   * since a restored store gives them out again. 0 if the store has no eras. */
+  std::int64_t era = 0;
   friend bool operator==(const StoreReply&, const StoreReply&) = default;
 };
 BOOST_DESCRIBE_STRUCT(StoreReply,
                       (),
-                      (status, rows, results, object, more, version))
+                      (status, rows, results, object, more, version, era))
 
 }  // namespace kumquatcove
 
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -49,6 +49,7 @@
     return false;
   }
   m_call.reset();
+  RecordEra(context, reply.era);
   if (reply.status != StoreStatus::kOk) {
     OnFailed(context, reply.status);
     return true;
@@ -67,6 +68,19 @@
   return true;
 }
 
+void TableFollower::RecordEra(Context& context, std::int64_t era) {
+  if (era <= m_era) {
+    return;
+  }
+  if (m_era != 0) {
+    context.Record("store_era_changed", m_prefix,
+                   {{"era", std::to_string(era)},
+                    {"previous", std::to_string(m_era)},
+                    {"version", std::to_string(m_version)}});
+  }
+  m_era = era;
+}
+
 void TableFollower::OnScanned(Context& context, const StoreReply& reply) {
   if (m_scan_after.empty()) {
     m_scan_version = reply.version;
@@ -88,10 +102,10 @@
     }
   }
   for (const StoreRow& row : removed) {
-    Apply(row);
+    Apply(context, row);
   }
   for (const auto& [key, row] : m_scan) {
-    Apply(row);
+    Apply(context, row);
   }
   m_scan.clear();
   m_scan_after.clear();
@@ -106,7 +120,7 @@
 void TableFollower::OnWatched(Context& context, const StoreReply& reply) {
   for (const StoreRow& row : reply.rows) {
     m_newest_row = std::max(m_newest_row, row.version);
-    Apply(row);
+    Apply(context, row);
   }
   m_behind_since.reset();
   m_version = std::max(m_version, reply.version);
@@ -162,10 +176,16 @@
   Call(context, /*fresh_connection=*/true);
 }
 
-void TableFollower::Apply(const StoreRow& row) {
+void TableFollower::Apply(Context& context, const StoreRow& row) {
   const auto found = m_rows.find(row.key);
   const bool exists = found != m_rows.end();
   if (exists && found->second.version >= row.version) {
+    if (found->second != row) {
+      context.Record("row_outdated", row.key,
+                     {{"version", std::to_string(row.version)},
+                      {"held", std::to_string(found->second.version)},
+                      {"era", std::to_string(m_era)}});
+    }
     return;
   }
   if (row.deleted) {
@@ -182,7 +202,8 @@
 void TableFollower::OnFailed(Context& context, StoreStatus status) {
   if (status == StoreStatus::kHistoryLost) {
     context.Record("store_history_lost", m_prefix,
-                   {{"version", std::to_string(m_version)}});
+                   {{"version", std::to_string(m_version)},
+                    {"era", std::to_string(m_era)}});
     Restart(context);
     return;
   }
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -76,7 +76,8 @@
   void OnScanned(Context& context, const StoreReply& reply);
   void OnWatched(Context& context, const StoreReply& reply);
   void OnFailed(Context& context, StoreStatus status);
-  void Apply(const StoreRow& row);
+  void Apply(Context& context, const StoreRow& row);
+  void RecordEra(Context& context, std::int64_t era);
   /** Restarts the watch if it is stalled or longer than a short watch. */
   void RenewStalledWatch(Context& context);
 
@@ -94,6 +95,8 @@
   bool m_loaded = false;
   std::int64_t m_version = 0;
   std::int64_t m_newest_row = 0;
+  /** Highest era of the store in any reply. */
+  std::int64_t m_era = 0;
   bool m_short_watches = false;
   /** Start of the current watch, if any, and the time for which the store may
    * delay its reply. */
