Compare versions of the store within one era only

Cause: the follower of a table took a row for known if it held one with a version at least as high, and watched on from its last version, although a restored store gives versions out again.

Change: versions belong to the era of the store; a higher one in any answer starts all over, an answer of an earlier one is ignored. After a failure the first watch doesn't wait for a change.

--- a/src/registry/fake_table_rows.h
+++ b/src/registry/fake_table_rows.h
@@ -73,7 +73,9 @@
           reply.rows.push_back(row);
         }
       }
-      return reply.rows.empty() ? std::nullopt : std::optional(reply);
+      const bool waits =
+          reply.rows.empty() && watch->patience > Duration::zero();
+      return waits ? std::nullopt : std::optional(reply);
     }
     if (const auto* write = std::get_if<StoreWrite>(&operation)) {
       for (const StoreTransaction& transaction : write->transactions) {
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -34,14 +34,18 @@
 
 void TableFollower::Restart(Context& context) {
   m_started = true;
-  m_scanning = true;
-  m_scan.clear();
-  m_scan_after.clear();
+  BeginScan();
   m_call.reset();
   m_due = context.Now();
   Call(context);
 }
 
+void TableFollower::BeginScan() {
+  m_scanning = true;
+  m_scan.clear();
+  m_scan_after.clear();
+}
+
 bool TableFollower::OnReply(Context& context,
                             StoreRequestId id,
                             const StoreReply& reply) {
@@ -49,7 +53,19 @@
     return false;
   }
   m_call.reset();
-  RecordEra(context, reply.era);
+  if (reply.era != 0 && reply.era < m_era) {
+    // The answer was sent before the store was restored.
+    m_due = context.Now();
+    return true;
+  }
+  if (reply.era > m_era) {
+    const bool is_first_page = m_scanning && m_scan_after.empty();
+    BeginEra(context, reply.era);
+    if (reply.status == StoreStatus::kOk && !is_first_page) {
+      Call(context);
+      return true;
+    }
+  }
   if (reply.status != StoreStatus::kOk) {
     OnFailed(context, reply.status);
     return true;
@@ -68,10 +84,7 @@
   return true;
 }
 
-void TableFollower::RecordEra(Context& context, std::int64_t era) {
-  if (era <= m_era) {
-    return;
-  }
+void TableFollower::BeginEra(Context& context, std::int64_t era) {
   if (m_era != 0) {
     context.Record("store_era_changed", m_prefix,
                    {{"era", std::to_string(era)},
@@ -79,6 +92,13 @@
                     {"version", std::to_string(m_version)}});
   }
   m_era = era;
+  m_version = 0;
+  m_newest_row = 0;
+  m_behind_since.reset();
+  for (auto& [key, row] : m_rows) {
+    row.version = 0;
+  }
+  BeginScan();
 }
 
 void TableFollower::OnScanned(Context& context, const StoreReply& reply) {
@@ -107,8 +127,7 @@
   for (const auto& [key, row] : m_scan) {
     Apply(context, row);
   }
-  m_scan.clear();
-  m_scan_after.clear();
+  BeginScan();
   m_scanning = false;
   m_loaded = true;
   m_version = m_scan_version;
@@ -236,8 +255,11 @@
     m_call = context.CallStoreFor(module, StoreScan{m_prefix, m_scan_after},
                                   kReplyMargin);
   } else {
+    // After a failure the store may have been restored; only an answer tells
+    // that, so the first watch doesn't wait for a change.
     const Duration timeout =
-        m_short_watches ? kShortWatchTimeout : kWatchTimeout;
+        m_failures > 0 ? Duration::zero()
+                       : (m_short_watches ? kShortWatchTimeout : kWatchTimeout);
     m_watch_began = context.Now();
     m_watch_timeout = timeout;
     m_call =
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -14,7 +14,9 @@
 
 /**
  * Maintains a copy of one store table: reads all rows, then optionally watches
- * for changes, and reads all rows again if the store has lost its history.
+ * for changes, and reads all rows again if the store has lost its history or
+ * was restored from an older copy. Versions are compared within one era of the
+ * store only.
  *
  * Thread safety: none; owned by one reducer.
  */
@@ -77,7 +79,11 @@
   void OnWatched(Context& context, const StoreReply& reply);
   void OnFailed(Context& context, StoreStatus status);
   void Apply(Context& context, const StoreRow& row);
-  void RecordEra(Context& context, std::int64_t era);
+  /** Begins a new era of the store, in which no version of the earlier ones has
+   * a meaning. */
+  void BeginEra(Context& context, std::int64_t era);
+  /** Starts reading all rows from the first one. */
+  void BeginScan();
   /** Restarts the watch if it is stalled or longer than a short watch. */
   void RenewStalledWatch(Context& context);
 
@@ -95,7 +101,8 @@
   bool m_loaded = false;
   std::int64_t m_version = 0;
   std::int64_t m_newest_row = 0;
-  /** Highest era of the store in any reply. */
+  /** Era of the store to which all versions belong; 0 before the first reply.
+   */
   std::int64_t m_era = 0;
   bool m_short_watches = false;
   /** Start of the current watch, if any, and the time for which the store may
