Don't take the copy that a store was restored from for news

What callers would see: requests in an evacuated zone, requests to upstreams that have left, and upstreams missing that have just registered, until operator and upstreams have written their rows again.

Change: rows that a restored store lacks are kept for as long as their writers need (2.2 s for upstreams, 10 s for the operator); then all rows are read again. An upstream that was removed in an earlier era returns only with a newer start or sequence. A row that is read again unchanged is no change. Removed upstreams are forgotten after ten minutes.

Evidence: four new tests of registry failed before and pass.

--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -50,15 +50,16 @@
   }
 
   void operator()(UpstreamRegistration& registration) const {
-    const std::pair position(registration.started_ms, registration.sequence);
-    const auto [newest, inserted] =
-        sync.m_newest.try_emplace(registration.id, position);
-    if (!inserted && position < newest->second) {
-      context.Record("upstream_row_outdated", registration.id.Text(),
-                     {{"sequence", std::to_string(registration.sequence)}});
+    const auto [known, inserted] =
+        sync.m_known.try_emplace(registration.id, KnownUpstream{registration});
+    if (registration == known->second.registration &&
+        !known->second.removed_in_era) {
+      sync.m_expired.erase(registration.id);
+    }
+    if (!inserted && !sync.IsNews(context, known->second, registration)) {
       return;
     }
-    newest->second = position;
+    known->second = KnownUpstream{registration};
     sync.m_expired.erase(registration.id);
     context.Record(
         "upstream_registered", registration.id.Text(),
@@ -87,16 +88,54 @@
 
 RegistrySync::RegistrySync(const RegistryCodec& codec, Duration drain_limit)
     : m_codec(codec), m_routes(std::make_shared<const RouteTable>()) {
-  const auto add = [this](RegistryTable table, std::optional<Duration> pause) {
-    m_tables.emplace(table, TableFollower(m_codec.KeyPrefix(table), pause));
+  const auto add = [this](RegistryTable table, std::optional<Duration> pause,
+                          Duration rewrite_time) {
+    m_tables.emplace(
+        table, TableFollower(m_codec.KeyPrefix(table), pause, rewrite_time));
   };
-  add(RegistryTable::kOperator, kNoPause);
-  add(RegistryTable::kUpstreams, kNoPause);
+  add(RegistryTable::kOperator, kNoPause, kOperatorRewriteTime);
+  add(RegistryTable::kUpstreams, kNoPause, kRenewalGracePeriod);
   // Instances that start later announce themselves by heartbeats.
-  add(RegistryTable::kEntries, std::nullopt);
+  add(RegistryTable::kEntries, std::nullopt, Duration::zero());
   SetDrainLimit(drain_limit);
 }
 
+bool RegistrySync::IsNews(Context& context,
+                          const KnownUpstream& known,
+                          const UpstreamRegistration& registration) const {
+  const UpstreamRegistration& newest = known.registration;
+  const auto order =
+      std::pair(registration.started_ms, registration.sequence) <=>
+      std::pair(newest.started_ms, newest.sequence);
+  const bool is_copied =
+      known.removed_in_era &&
+      *known.removed_in_era < m_tables.at(RegistryTable::kUpstreams).Era();
+  if (order < 0 || (order == 0 && is_copied)) {
+    context.Record("upstream_row_outdated", registration.id.Text(),
+                   {{"sequence", std::to_string(registration.sequence)},
+                    {"removed", known.removed_in_era ? "true" : "false"}});
+    return false;
+  }
+  return known.removed_in_era || registration != newest;
+}
+
+void RegistrySync::RecordRemoval(Context& context, const UpstreamId& id) {
+  ForgetRemoved(context.Now());
+  const auto known = m_known.find(id);
+  if (known != m_known.end()) {
+    known->second.removed_in_era = m_tables.at(RegistryTable::kUpstreams).Era();
+    known->second.removed_at = context.Now();
+  }
+  m_changes.push_back(UpstreamRemoved{id});
+}
+
+void RegistrySync::ForgetRemoved(MonotonicTime now) {
+  std::erase_if(m_known, [now](const auto& entry) {
+    const KnownUpstream& known = entry.second;
+    return known.removed_in_era && now - known.removed_at >= kRemovedMemory;
+  });
+}
+
 void RegistrySync::SetDrainLimit(Duration drain_limit) {
   m_tables.at(RegistryTable::kUpstreams)
       .SetPause(std::chrono::duration_cast<Duration>(drain_limit *
@@ -178,7 +217,7 @@
     return;
   }
   context.Record("upstream_gone", id.Text());
-  m_changes.push_back(UpstreamRemoved{id});
+  RecordRemoval(context, id);
 }
 
 bool RegistrySync::IsMassExpiry(const Context& context,
@@ -205,7 +244,7 @@
     }
     context.Record("upstream_gone", entry->first.Text(),
                    {{"reason", "not renewed after an outage of the store"}});
-    m_changes.push_back(UpstreamRemoved{entry->first});
+    RecordRemoval(context, entry->first);
     entry = m_expired.erase(entry);
   }
 }
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -69,6 +69,13 @@
    * unavailable; the platform specifies about two seconds. */
   static constexpr Duration kRenewalGracePeriod = Milliseconds(2200);
 
+  /** Time that the operator has to write its rows again after a restore of the
+   * store. */
+  static constexpr Duration kOperatorRewriteTime = Seconds(10);
+  /** Time for which a removed upstream is remembered, well above the age of the
+   * copies that the platform restores. */
+  static constexpr Duration kRemovedMemory = Seconds(600);
+
   /** Share of the upstreams that must remain after an outage for the missing
    * ones to be treated as removed. Below it, their rows are assumed to have
    * expired because of the outage. */
@@ -122,6 +129,22 @@
  private:
   struct Visitor;
 
+  /** The newest row of an upstream. Rows that were written before it, and those
+   * of a restored store that tell of an upstream that has been removed since,
+   * are no news. */
+  struct KnownUpstream {
+    UpstreamRegistration registration;
+    /** Era of the store and time of the removal, if it has been removed. */
+    std::optional<std::int64_t> removed_in_era;
+    MonotonicTime removed_at;
+  };
+
+  /** Returns whether a row is news compared with the known one. */
+  bool IsNews(Context& context,
+              const KnownUpstream& known,
+              const UpstreamRegistration& registration) const;
+  void RecordRemoval(Context& context, const UpstreamId& id);
+  void ForgetRemoved(MonotonicTime now);
   void ApplyRow(Context& context, RegistryTable table, const StoreRow& row);
   void OnRowRemoved(Context& context, RegistryTable table, const StoreRow& row);
   void OnUpstreamRowRemoved(Context& context, const UpstreamId& id);
@@ -137,9 +160,7 @@
   /** Upstreams whose row expired in an outage of the store, with the time at
    * which each is removed unless its row is renewed. */
   std::map<UpstreamId, MonotonicTime> m_expired;
-  /** Start time and sequence of the newest row of each upstream, so that a
-   * delayed write doesn't overwrite a later one. */
-  std::map<UpstreamId, std::pair<std::int64_t, std::int64_t>> m_newest;
+  std::map<UpstreamId, KnownUpstream> m_known;
   bool m_has_routes = false;
   bool m_mass_expiry = false;
 };
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -375,4 +375,90 @@
   CHECK_FALSE(std::get<EvacuationChanged>(fixture.changes[1]).evacuated);
 }
 
+TEST_CASE(
+    "An evacuation that a restored store has lost stays in force until the "
+    "operator has had time to write it again") {
+  SyncFixture fixture;
+  fixture.sync.Restart(fixture.context);
+  fixture.DeliverReplies();
+  const FakeTableRows::Copy copy = fixture.table.rows->MakeCopy();
+  fixture.table.Put("operator/lima-a", "");
+  fixture.Run(Milliseconds(50));
+  fixture.Run(Seconds(1), StoreStatus::kRefused);
+  fixture.table.rows->Restore(copy);
+  fixture.changes.clear();
+  fixture.Run(Seconds(5));
+  CHECK(fixture.changes.empty());
+  fixture.Run(Seconds(10));
+  REQUIRE(fixture.changes.size() == 1);
+  CHECK_FALSE(std::get<EvacuationChanged>(fixture.changes[0]).evacuated);
+}
+
+TEST_CASE(
+    "An upstream whose row a restored store has lost is kept while it may "
+    "write it again") {
+  SyncFixture fixture;
+  for (const char* id : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    fixture.PutUpstream(MakeUpstream(id));
+  }
+  fixture.sync.Restart(fixture.context);
+  fixture.DeliverReplies();
+  const FakeTableRows::Copy copy = fixture.table.rows->MakeCopy();
+  fixture.PutUpstream(MakeUpstream("alive"));
+  fixture.PutUpstream(MakeUpstream("dead"));
+  fixture.Run(Seconds(1));
+  fixture.Run(Seconds(1), StoreStatus::kRefused);
+  fixture.table.rows->Restore(copy);
+  fixture.Run(Seconds(1));
+  CHECK_FALSE(fixture.IsRemoved("alive"));
+  CHECK_FALSE(fixture.IsRemoved("dead"));
+  fixture.PutUpstream(MakeUpstream("alive", 2));
+  fixture.Run(Seconds(3));
+  CHECK_FALSE(fixture.IsRemoved("alive"));
+  CHECK(fixture.IsRemoved("dead"));
+}
+
+TEST_CASE(
+    "An upstream that has left doesn't return with its row in a restored "
+    "store") {
+  SyncFixture fixture;
+  fixture.PutUpstream(MakeUpstream("left"));
+  fixture.PutUpstream(MakeUpstream("lapsed"));
+  fixture.sync.Restart(fixture.context);
+  fixture.DeliverReplies();
+  const FakeTableRows::Copy copy = fixture.table.rows->MakeCopy();
+  fixture.table.Remove("upstreams/left");
+  fixture.table.Remove("upstreams/lapsed");
+  fixture.Run(Seconds(1));
+  REQUIRE(fixture.IsRemoved("left"));
+  REQUIRE(fixture.IsRemoved("lapsed"));
+  fixture.changes.clear();
+  fixture.Run(Seconds(1), StoreStatus::kRefused);
+  fixture.table.rows->Restore(copy);
+  fixture.PutUpstream(MakeUpstream("lapsed", 2));
+  fixture.Run(Seconds(5));
+  REQUIRE(fixture.changes.size() == 1);
+  CHECK(std::get<UpstreamRegistered>(fixture.changes[0]).registration.id ==
+        UpstreamId("lapsed"));
+}
+
+TEST_CASE("A row that is read again after a restore is no change") {
+  SyncFixture fixture;
+  UpstreamRegistration cold = MakeUpstream("cold");
+  cold.cold_left = Seconds(3);
+  fixture.PutUpstream(cold);
+  fixture.sync.Restart(fixture.context);
+  fixture.DeliverReplies();
+  const FakeTableRows::Copy copy = fixture.table.rows->MakeCopy();
+  fixture.table.Put("operator/config", "5 a.example / vitrina i");
+  fixture.Run(Seconds(1));
+  fixture.changes.clear();
+  fixture.Run(Seconds(1), StoreStatus::kRefused);
+  fixture.table.rows->Restore(copy);
+  fixture.table.Put("operator/config", "5 a.example / vitrina i");
+  fixture.Run(Seconds(5));
+  // Its warm-up would begin anew.
+  CHECK(fixture.changes.empty());
+}
+
 }  // namespace kumquatcove
--- a/src/registry/table_follower.cc
+++ b/src/registry/table_follower.cc
@@ -30,6 +30,9 @@
 // Number of times that the retry delay doubles.
 constexpr int kMaxDoublings = 3;
 
+// Version of a row that was read in an earlier era; below all others.
+constexpr std::int64_t kNoVersion = -1;
+
 }  // namespace
 
 void TableFollower::Restart(Context& context) {
@@ -90,13 +93,15 @@
                    {{"era", std::to_string(era)},
                     {"previous", std::to_string(m_era)},
                     {"version", std::to_string(m_version)}});
+    m_keeps_missing = true;
+    m_confirm_at.reset();
   }
   m_era = era;
   m_version = 0;
   m_newest_row = 0;
   m_behind_since.reset();
   for (auto& [key, row] : m_rows) {
-    row.version = 0;
+    row.version = kNoVersion;
   }
   BeginScan();
 }
@@ -115,9 +120,12 @@
     Call(context);
     return;
   }
+  if (m_keeps_missing && !m_confirm_at) {
+    m_confirm_at = context.Now() + m_rewrite_time;
+  }
   std::vector<StoreRow> removed;
   for (const auto& [key, row] : m_rows) {
-    if (!m_scan.contains(key)) {
+    if (!m_keeps_missing && !m_scan.contains(key)) {
       removed.push_back({key, m_scan_version, "", true});
     }
   }
@@ -242,6 +250,11 @@
 }
 
 void TableFollower::OnTick(Context& context) {
+  if (m_confirm_at && context.Now() >= *m_confirm_at && m_failures == 0) {
+    m_keeps_missing = false;
+    m_confirm_at.reset();
+    Restart(context);
+  }
   RenewStalledWatch(context);
   const bool wanted = m_started && (m_pause || m_scanning);
   if (wanted && !m_call && context.Now() >= m_due) {
--- a/src/registry/table_follower.h
+++ b/src/registry/table_follower.h
@@ -16,7 +16,8 @@
  * Maintains a copy of one store table: reads all rows, then optionally watches
  * for changes, and reads all rows again if the store has lost its history or
  * was restored from an older copy. Versions are compared within one era of the
- * store only.
+ * store only. Rows that a restored store lacks are kept until their writers
+ * have had time to write them again.
  *
  * Thread safety: none; owned by one reducer.
  */
@@ -25,9 +26,14 @@
   /** Follows the rows whose key starts with `prefix`. After a change the next
    * watch starts only after `pause`, so that one call returns a burst of
    * changes. If `pause` is nullopt, the table isn't watched; its rows are read
-   * once after each Restart. */
-  TableFollower(std::string prefix, std::optional<Duration> pause)
-      : m_prefix(std::move(prefix)), m_pause(pause) {}
+   * once after each Restart. `rewrite_time` is the time that the writers of the
+   * rows need to write them again after a restore of the store. */
+  TableFollower(std::string prefix,
+                std::optional<Duration> pause,
+                Duration rewrite_time)
+      : m_prefix(std::move(prefix)),
+        m_pause(pause),
+        m_rewrite_time(rewrite_time) {}
 
   /** Enables short watches, with which this instance detects a stalled watch by
    * itself. Otherwise it relies on the versions that other instances report. */
@@ -61,6 +67,10 @@
   /** Returns the version of the newest row received, or 0 if none. */
   std::int64_t NewestRowVersion() const { return m_newest_row; }
 
+  /** Returns the era of the store to which the rows belong; 0 if none is known.
+   */
+  std::int64_t Era() const { return m_era; }
+
   /** Returns whether all rows have been read at least once. */
   bool IsLoaded() const { return m_loaded; }
 
@@ -89,6 +99,7 @@
 
   std::string m_prefix;
   std::optional<Duration> m_pause;
+  Duration m_rewrite_time;
   /** Whether Restart has been called. */
   bool m_started = false;
   std::map<std::string, StoreRow> m_rows;
@@ -104,6 +115,11 @@
   /** Era of the store to which all versions belong; 0 before the first reply.
    */
   std::int64_t m_era = 0;
+  /** The store was restored, and rows that it lacks are kept. */
+  bool m_keeps_missing = false;
+  /** Time at which all rows are read again, and those that are still missing
+   * are removed. */
+  std::optional<MonotonicTime> m_confirm_at;
   bool m_short_watches = false;
   /** Start of the current watch, if any, and the time for which the store may
    * delay its reply. */
--- a/src/registry/table_follower_test.cc
+++ b/src/registry/table_follower_test.cc
@@ -52,7 +52,7 @@
 
   Context context;
   FakeTable table;
-  TableFollower follower{"t/", Duration(0)};
+  TableFollower follower{"t/", Duration(0), Milliseconds(0)};
 
  private:
   MonotonicTime m_now;
