Write the row of an instance again after a restore of the store

What callers would see: instances that start later don't know one whose row was lost, so that they divide limits among fewer instances and choose another issuer of permits than the others do; look-ups leave it out.

Cause: the row was written once, at the start, and the write was taken to last. Its removal at a planned stop wasn't repeated either, not even if the store was away.

Change: the presence keeps the row in the state that its phase wants, with retries, and writes or removes it once more after a restore, spread over a second.

--- a/src/dispatch/cluster/restore_test.cc
+++ b/src/dispatch/cluster/restore_test.cc
@@ -118,4 +118,33 @@
   CheckServed(cluster);
 }
 
+TEST_CASE(
+    "An instance whose row a restored store has lost writes it again, so that "
+    "later ones find it") {
+  RestoredCluster cluster(4);
+  cluster.Kill("e3");
+  cluster.rows->Remove("entries/e3");
+  cluster.Advance(Seconds(1));
+  const FakeTableRows::Copy copy = cluster.rows->MakeCopy();
+  cluster.StartInstance("e3");
+  cluster.Advance(Seconds(3));
+  REQUIRE(cluster.rows->Has("entries/e3"));
+  cluster.RestoreAfter(Seconds(2), copy);
+  REQUIRE_FALSE(cluster.rows->Has("entries/e3"));
+  cluster.Advance(kSettleTime);
+  CHECK(cluster.rows->Has("entries/e3"));
+}
+
+TEST_CASE("An instance that is stopping doesn't register again") {
+  RestoredCluster cluster(5);
+  const FakeTableRows::Copy copy = cluster.rows->MakeCopy();
+  cluster.Stop("e3");
+  cluster.Advance(Milliseconds(100));
+  REQUIRE_FALSE(cluster.rows->Has("entries/e3"));
+  cluster.RestoreAfter(Seconds(1), copy);
+  cluster.Advance(Seconds(2));
+  REQUIRE(cluster.IsRunning("e3"));
+  CHECK_FALSE(cluster.rows->Has("entries/e3"));
+}
+
 }  // namespace kumquatcove
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -27,8 +27,6 @@
 // Time before SIGKILL at which the process exits even with requests in flight.
 constexpr Duration kKillMargin = Milliseconds(300);
 
-constexpr Duration kPublishTimeout = Seconds(2);
-
 // Memory bounds what an instance may buffer, since bodies are read whole; the
 // platform's limit on bodies may be higher.
 constexpr std::int64_t kMaxBufferedBody = 32LL << 20U;
@@ -126,6 +124,9 @@
   void operator()(const EntryRemoved& change) const {
     reducer.m_presence.OnRemoved(change.instance);
   }
+  void operator()(const StoreRestored& /*change*/) const {
+    reducer.m_presence.OnStoreRestored(reducer.m_context);
+  }
 };
 
 DispatchReducer::DispatchReducer(const DispatchNodeSettings& settings,
@@ -275,16 +276,6 @@
   m_intake = CallerIntake::kClosing;
   UpdatePhase();
   ApplyCallerLimits();
-  RemoveRegistration();
-}
-
-void DispatchReducer::RemoveRegistration() {
-  StoreTransaction transaction;
-  transaction.mutations.push_back({m_codec.KeyPrefix(RegistryTable::kEntries) +
-                                       m_context.Self().instance.Text(),
-                                   std::nullopt});
-  m_context.CallStoreFor(StoreClientModule::kPresence,
-                         StoreWrite{{std::move(transaction)}}, kPublishTimeout);
 }
 
 void DispatchReducer::ShareLoad() {
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -66,7 +66,6 @@
   void BroadcastSuspicions();
   void ShareLoad();
   void ExitWhenDone();
-  void RemoveRegistration();
 
   Context m_context;
   DispatchSettings m_settings;
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -32,6 +32,9 @@
   m_phase = phase;
   if (phase == InstancePhase::kServing) {
     m_serving_since = context.Now();
+  } else if (phase == InstancePhase::kLeaving) {
+    m_is_row_current = false;
+    m_next_row_write = context.Now();
   }
   context.Record("phase_changed", context.Self().instance.Text(),
                  {{"phase", std::string(ToString(phase))}});
@@ -92,30 +95,43 @@
     return false;
   }
   m_call.reset();
-  m_registered = reply.status == StoreStatus::kOk;
-  if (!m_registered) {
-    m_next_registration = context.Now() + kRegistrationRetry;
+  const bool is_leaving = m_phase == InstancePhase::kLeaving;
+  if (reply.status != StoreStatus::kOk) {
+    m_next_row_write = context.Now() + kRegistrationRetry;
+    return false;
   }
-  return m_registered;
+  m_is_row_current = m_call_removes == is_leaving;
+  return m_is_row_current && !is_leaving;
+}
+
+void EntryPresence::OnStoreRestored(Context& context) {
+  m_is_row_current = false;
+  m_next_row_write =
+      context.Now() +
+      std::chrono::duration_cast<Duration>(
+          kMaxRewriteDelay * context.RandomNumbers().NextFraction());
 }
 
 void EntryPresence::OnTick(Context& context) {
-  if (!m_registered && !m_call && context.Now() >= m_next_registration) {
-    Register(context);
+  if (!m_is_row_current && !m_call && context.Now() >= m_next_row_write) {
+    WriteOwnRow(context);
   }
   if (context.Now() >= m_next_heartbeat) {
     SendHeartbeats(context, m_counter % kRemoteHeartbeatRatio == 0);
   }
 }
 
-void EntryPresence::Register(Context& context) {
+void EntryPresence::WriteOwnRow(Context& context) {
   const Identity& self = context.Self();
-  const EntryRegistration registration{self.instance, self.region, self.zone,
-                                       self.caller_address, self.peer_address};
+  m_call_removes = m_phase == InstancePhase::kLeaving;
+  StoreMutation mutation{m_key_prefix + self.instance.Text(), std::nullopt};
+  if (!m_call_removes) {
+    mutation.value = boost::json::serialize(
+        ToJson(EntryRegistration{self.instance, self.region, self.zone,
+                                 self.caller_address, self.peer_address}));
+  }
   StoreTransaction transaction;
-  transaction.mutations.push_back(
-      {m_key_prefix + self.instance.Text(),
-       boost::json::serialize(ToJson(registration))});
+  transaction.mutations.push_back(std::move(mutation));
   m_call = context.CallStoreFor(StoreClientModule::kPresence,
                                 StoreWrite{{std::move(transaction)}},
                                 kRegistrationTimeout);
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -24,11 +24,13 @@
  * Tracks which entry instances are alive and which of them callers should use.
  *
  * At startup an instance writes one row, then reads the rows of the other
- * instances and announces itself to them. It sends every heartbeat to the
- * instances of its own region, and one in kRemoteHeartbeatRatio also to the
- * other regions. Liveness is not written to the store. Lookup answers contain
- * only instances of the own region, because only those send frequent
- * heartbeats. Thread safety: none; owned by one reducer.
+ * instances and announces itself to them. It removes the row when it leaves,
+ * and repeats either write after a restore of the store. It sends every
+ * heartbeat to the instances of its own region, and one in
+ * kRemoteHeartbeatRatio also to the other regions. Liveness is not written to
+ * the store. Lookup answers contain only instances of the own region, because
+ * only those send frequent heartbeats. Thread safety: none; owned by one
+ * reducer.
  */
 class EntryPresence {
  public:
@@ -44,6 +46,10 @@
   /** Maximum number of instances that receive this instance's load, since each
    * sender costs its receivers some messages per second. */
   static constexpr std::size_t kMaxLoadReceivers = 24;
+  /** Instances that rewrite their rows together spread the calls over this
+   * time.
+   */
+  static constexpr Duration kMaxRewriteDelay = Seconds(1);
   /** Time since its start after which an instance coordinates anything; the
    * instances of its region know it by then. */
   static constexpr Duration kMinCoordinatorAge = Seconds(4);
@@ -59,6 +65,10 @@
   void SetPhase(Context& context, InstancePhase phase);
   InstancePhase Phase() const { return m_phase; }
 
+  /** Writes or removes the own row once more, at a random time within
+   * kMaxRewriteDelay, since the store may have lost that. */
+  void OnStoreRestored(Context& context);
+
   /** Notifies all instances at once of the configuration version in effect
    * here, so that an instance with a stalled store connection can detect it. */
   void SetConfiguration(Context& context, std::int64_t version);
@@ -128,7 +138,8 @@
   /** Sends heartbeats to the instances of the region, or to all instances. */
   void SendHeartbeats(Context& context, bool to_all);
   Gossip MakeHeartbeat(const Context& context);
-  void Register(Context& context);
+  /** Writes the own row, or removes it if this instance is leaving. */
+  void WriteOwnRow(Context& context);
   bool IsUsable(const Context& context, const Entry& entry) const;
   /** Returns whether an instance may be a coordinator. Instances of other
    * regions, which send few heartbeats, may have ended unnoticed. */
@@ -143,9 +154,12 @@
   std::int64_t m_configuration_version = 0;
   std::optional<MonotonicTime> m_serving_since;
   MonotonicTime m_next_heartbeat;
-  MonotonicTime m_next_registration;
-  bool m_registered = false;
+  /** Time of the next write of the own row, unless that is current. */
+  MonotonicTime m_next_row_write;
+  bool m_is_row_current = false;
+  /** Write in progress, and whether it removes the row. */
   std::optional<StoreRequestId> m_call;
+  bool m_call_removes = false;
 };
 
 }  // namespace kumquatcove
--- a/src/registry/fake_table_rows.h
+++ b/src/registry/fake_table_rows.h
@@ -23,6 +23,8 @@
     std::int64_t version = 0;
   };
 
+  bool Has(const std::string& key) const { return m_rows.contains(key); }
+
   Copy MakeCopy() const { return {m_rows, m_history, m_version}; }
   /** Loses all changes since a copy and begins a new era, in which their
    * versions are given out again. */
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -120,6 +120,13 @@
   return known.removed_in_era || registration != newest;
 }
 
+void RegistrySync::DetectRestore(std::int64_t era) {
+  if (m_era != 0 && era > m_era) {
+    m_changes.emplace_back(StoreRestored{era});
+  }
+  m_era = std::max(m_era, era);
+}
+
 void RegistrySync::RecordRemoval(Context& context, const UpstreamId& id) {
   ForgetRemoved(context.Now());
   const auto known = m_known.find(id);
@@ -165,6 +172,7 @@
     if (!follower.OnReply(context, id, reply)) {
       continue;
     }
+    DetectRestore(follower.Era());
     m_mass_expiry =
         table == RegistryTable::kUpstreams && IsMassExpiry(context, before);
     for (const StoreRow& row : follower.TakeChanges()) {
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -39,12 +39,18 @@
 struct EntryRemoved {
   InstanceId instance;
 };
+/** The store was restored from an older copy: what this instance has written
+ * may be lost. */
+struct StoreRestored {
+  std::int64_t era = 0;
+};
 using RegistryChange = std::variant<RoutesChanged,
                                     UpstreamRegistered,
                                     UpstreamRemoved,
                                     EvacuationChanged,
                                     EntryRegistered,
-                                    EntryRemoved>;
+                                    EntryRemoved,
+                                    StoreRestored>;
 
 /** Versions of the newest rows of the watched tables, in one era of the store.
  */
@@ -145,6 +151,7 @@
   bool IsNews(Context& context,
               const KnownUpstream& known,
               const UpstreamRegistration& registration) const;
+  void DetectRestore(std::int64_t era);
   void RecordRemoval(Context& context, const UpstreamId& id);
   void ForgetRemoved(MonotonicTime now);
   void ApplyRow(Context& context, RegistryTable table, const StoreRow& row);
@@ -163,6 +170,8 @@
    * which each is removed unless its row is renewed. */
   std::map<UpstreamId, MonotonicTime> m_expired;
   std::map<UpstreamId, KnownUpstream> m_known;
+  /** Highest era of the store in any of the tables. */
+  std::int64_t m_era = 0;
   bool m_has_routes = false;
   bool m_mass_expiry = false;
 };
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -72,7 +72,11 @@
       }
     }
     for (RegistryChange& change : sync.TakeChanges()) {
-      changes.push_back(std::move(change));
+      if (std::holds_alternative<StoreRestored>(change)) {
+        ++restores;
+      } else {
+        changes.push_back(std::move(change));
+      }
     }
   }
 
@@ -87,7 +91,9 @@
   FakeRegistryCodec codec;
   FakeTable table;
   RegistrySync sync{codec, kDrainLimit};
+  /** All changes but StoreRestored, which is counted. */
   std::vector<RegistryChange> changes;
+  int restores = 0;
 
  private:
   MonotonicTime m_now;
@@ -496,6 +502,7 @@
   fixture.Run(Seconds(5));
   // Its warm-up would begin anew.
   CHECK(fixture.changes.empty());
+  CHECK(fixture.restores == 1);
 }
 
 }  // namespace kumquatcove
