Don't serve an older configuration than the others after a start

What callers would see: an instance that starts from a restored copy answers 404 on routes that the others serve, until the operator has written the newer configuration again.

Cause: the store was taken to hold the newest configuration at any start; the version that the other instances tell only restarted a watch.

Change: for 10 s from its start an instance that knows of a newer configuration for 0.3 s or more isn't ready. Instances answer the first heartbeat of a new process at once, so that it knows their version.

--- a/src/dispatch/cluster/restore_test.cc
+++ b/src/dispatch/cluster/restore_test.cc
@@ -147,4 +147,39 @@
   CHECK_FALSE(cluster.rows->Has("entries/e3"));
 }
 
+TEST_CASE(
+    "An instance that starts from a restored copy doesn't serve an older "
+    "configuration than the others") {
+  RestoredCluster cluster(6);
+  const FakeTableRows::Copy copy = cluster.rows->MakeCopy();
+  cluster.rows->Put("operator/config", kNewerRoutes);
+  cluster.Advance(Seconds(1));
+  cluster.Kill("e3");
+  cluster.RestoreAfter(Seconds(1), copy);
+  cluster.StartInstance("e3");
+  cluster.Advance(Milliseconds(800));
+  cluster.Send("/lost/1", Seconds(2));
+  CHECK(cluster.Outcomes("e3").unknown_route == 0);
+  CHECK(cluster.Outcomes("e3").answered == 0);
+  cluster.rows->Put("operator/config", kNewerRoutes);
+  cluster.Advance(Milliseconds(200));
+  cluster.Send("/lost/1", Seconds(1));
+  CheckServed(cluster);
+}
+
+TEST_CASE(
+    "An instance that starts from a restored copy serves it if nobody writes a "
+    "newer configuration") {
+  RestoredCluster cluster(7);
+  const FakeTableRows::Copy copy = cluster.rows->MakeCopy();
+  cluster.rows->Put("operator/config", kNewerRoutes);
+  cluster.Advance(Seconds(1));
+  cluster.Kill("e3");
+  cluster.RestoreAfter(Seconds(1), copy);
+  cluster.StartInstance("e3");
+  cluster.Advance(Seconds(12));
+  cluster.Send("/browse/1", Seconds(1));
+  CheckServed(cluster);
+}
+
 }  // namespace kumquatcove
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -222,14 +222,15 @@
 }
 
 void DispatchReducer::UpdatePhase() {
-  const bool ready = m_registry.IsReady() && !m_stop_requested;
+  const bool ready = m_registry.IsReady(m_context.Now()) && !m_stop_requested;
   if (ready == m_ready) {
     return;
   }
   m_ready = ready;
-  if (ready) {
-    m_dispatcher.SetReady(true);
-    m_presence.SetPhase(m_context, InstancePhase::kServing);
+  if (!m_stop_requested) {
+    m_dispatcher.SetReady(ready);
+    m_presence.SetPhase(
+        m_context, ready ? InstancePhase::kServing : InstancePhase::kJoining);
   }
   m_context.Emit(SetReadiness{ready});
 }
--- a/src/registry/entry_presence.cc
+++ b/src/registry/entry_presence.cc
@@ -71,6 +71,7 @@
       continue;
     }
     Entry& entry = m_entries[record.instance];
+    const bool is_new_run = record.incarnation > entry.incarnation;
     if (std::pair(record.incarnation, record.counter) <=
         std::pair(entry.incarnation, entry.counter)) {
       continue;
@@ -85,6 +86,10 @@
     entry.incarnation = record.incarnation;
     entry.counter = record.counter;
     entry.last_contact = context.Now();
+    if (is_new_run) {
+      context.SendTo(record.instance, record.peer_address,
+                     MakeHeartbeat(context));
+    }
   }
 }
 
--- a/src/registry/entry_presence.h
+++ b/src/registry/entry_presence.h
@@ -24,9 +24,10 @@
  * Tracks which entry instances are alive and which of them callers should use.
  *
  * At startup an instance writes one row, then reads the rows of the other
- * instances and announces itself to them. It removes the row when it leaves,
- * and repeats either write after a restore of the store. It sends every
- * heartbeat to the instances of its own region, and one in
+ * instances and announces itself to them; an instance that hears of a new run
+ * of another one answers it with a heartbeat at once. It removes the row when
+ * it leaves, and repeats either write after a restore of the store. It sends
+ * every heartbeat to the instances of its own region, and one in
  * kRemoteHeartbeatRatio also to the other regions. Liveness is not written to
  * the store. Lookup answers contain only instances of the own region, because
  * only those send frequent heartbeats. Thread safety: none; owned by one
--- a/src/registry/registry_sync.cc
+++ b/src/registry/registry_sync.cc
@@ -41,6 +41,7 @@
     sync.m_has_routes = true;
     sync.m_routes =
         std::make_shared<const RouteTable>(std::move(configuration));
+    sync.m_outdated_since.reset();
     sync.m_changes.push_back(RoutesChanged{sync.m_routes});
   }
 
@@ -156,6 +157,9 @@
 }
 
 void RegistrySync::Restart(Context& context) {
+  if (!m_started) {
+    m_started = context.Now();
+  }
   m_tables.at(RegistryTable::kOperator).Restart(context);
   m_tables.at(RegistryTable::kUpstreams).Restart(context);
 }
@@ -282,8 +286,13 @@
 
 void RegistrySync::OnPeerConfigurationVersion(std::int64_t version,
                                               MonotonicTime now) {
-  if (version > m_routes->Version()) {
-    m_tables.at(RegistryTable::kOperator).MarkBehind(now);
+  if (version <= m_routes->Version()) {
+    return;
+  }
+  m_tables.at(RegistryTable::kOperator).MarkBehind(now);
+  m_peer_configuration = std::max(m_peer_configuration, version);
+  if (!m_outdated_since) {
+    m_outdated_since = now;
   }
 }
 
@@ -298,8 +307,13 @@
   return std::exchange(m_changes, {});
 }
 
-bool RegistrySync::IsReady() const {
-  return m_has_routes && m_tables.at(RegistryTable::kUpstreams).IsLoaded();
+bool RegistrySync::IsReady(MonotonicTime now) const {
+  const bool is_starting = m_started && now < *m_started + kMaxCatchUpTime;
+  const bool is_outdated = m_outdated_since &&
+                           m_peer_configuration > m_routes->Version() &&
+                           now >= *m_outdated_since + kCatchUpDelay;
+  return m_has_routes && m_tables.at(RegistryTable::kUpstreams).IsLoaded() &&
+         !(is_starting && is_outdated);
 }
 
 bool RegistrySync::HasReadEntries() const {
--- a/src/registry/registry_sync.h
+++ b/src/registry/registry_sync.h
@@ -84,6 +84,13 @@
    * copies that the platform restores. */
   static constexpr Duration kRemovedMemory = Seconds(600);
 
+  /** Time from its start for which an instance doesn't serve an older
+   * configuration than others do; after that the store's content counts. */
+  static constexpr Duration kMaxCatchUpTime = kOperatorRewriteTime;
+  /** Time for which a starting instance may be behind before it stops serving:
+   * a change reaches some instances a little earlier than others. */
+  static constexpr Duration kCatchUpDelay = Milliseconds(300);
+
   /** Share of the upstreams that must remain after an outage for the missing
    * ones to be treated as removed. Below it, their rows are assumed to have
    * expired because of the outage. */
@@ -122,8 +129,10 @@
   /** Returns and clears the changes since the last call, in order. */
   std::vector<RegistryChange> TakeChanges();
 
-  /** Returns whether a configuration and the upstreams have been read. */
-  bool IsReady() const;
+  /** Returns whether a configuration and the upstreams have been read. A
+   * restored store may hold an older configuration than other instances serve;
+   * an instance that starts then waits until it is written again. */
+  bool IsReady(MonotonicTime now) const;
 
   /** Returns whether the table of entry instances has been read. */
   bool HasReadEntries() const;
@@ -172,6 +181,11 @@
   std::map<UpstreamId, KnownUpstream> m_known;
   /** Highest era of the store in any of the tables. */
   std::int64_t m_era = 0;
+  /** Start of this instance, and the time since which others are known to serve
+   * a newer configuration. */
+  std::optional<MonotonicTime> m_started;
+  std::optional<MonotonicTime> m_outdated_since;
+  std::int64_t m_peer_configuration = 0;
   bool m_has_routes = false;
   bool m_mass_expiry = false;
 };
--- a/src/registry/registry_sync_test.cc
+++ b/src/registry/registry_sync_test.cc
@@ -104,12 +104,12 @@
 TEST_CASE("The registry is ready once routes and upstreams have been read") {
   SyncFixture fixture;
   fixture.sync.Restart(fixture.context);
-  CHECK_FALSE(fixture.sync.IsReady());
+  CHECK_FALSE(fixture.sync.IsReady(fixture.context.Now()));
   fixture.DeliverReplies();
-  CHECK_FALSE(fixture.sync.IsReady());
+  CHECK_FALSE(fixture.sync.IsReady(fixture.context.Now()));
   fixture.table.Put("operator/config", "3 a.example / vitrina i");
   fixture.Run(Milliseconds(50));
-  CHECK(fixture.sync.IsReady());
+  CHECK(fixture.sync.IsReady(fixture.context.Now()));
   CHECK(fixture.sync.Routes()->Version() == 3);
 }
 
