Soak: upstreams that state a rate limit

The soak plays upstreams that state a limit of one request a second, as planned work whose bound is checked (from 3 s on, 11 requests in 4 s) and as a fault among others.

--- a/src/platform/stand_in/soak_ledger.cc
+++ b/src/platform/stand_in/soak_ledger.cc
@@ -116,11 +116,53 @@
   }
 }
 
+void SoakLedger::OnRateLimit(const std::string& upstream,
+                             std::optional<double> rate,
+                             MonotonicTime now) {
+  m_limits.erase(upstream);
+  if (rate) {
+    m_limits[upstream] = m_limited_times.size();
+    m_limited_times.push_back({upstream, *rate, now, {}});
+  }
+}
+
+void SoakLedger::OnLimitedArrival(const std::string& upstream,
+                                  MonotonicTime now) {
+  const auto limit = m_limits.find(upstream);
+  if (limit != m_limits.end()) {
+    m_limited_times[limit->second].arrivals.push_back(now);
+  }
+}
+
+void SoakLedger::CheckRateLimits(std::vector<std::string>& violations) const {
+  for (const LimitedTime& limited : m_limited_times) {
+    const double allowed =
+        kMaxLimitExcess * limited.rate *
+            std::chrono::duration<double>(kLimitWindow).count() +
+        kLimitSlack;
+    const std::vector<MonotonicTime>& arrivals = limited.arrivals;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+      const auto count =
+          std::lower_bound(first, arrivals.end(), *first + kLimitWindow) -
+          first;
+      if (*first >= limited.begin + kContactTime &&
+          static_cast<double>(count) > allowed &&
+          IsCalm(*first, *first + kLimitWindow)) {
+        violations.push_back(absl::StrCat(
+            "upstream ", limited.upstream, " got ", count,
+            " requests at a limit of ", limited.rate, " a second"));
+        break;
+      }
+    }
+  }
+}
+
 std::vector<std::string> SoakLedger::FindViolations() const {
   std::vector<std::string> violations = m_violations;
   CheckRuns(violations);
   CheckLost(violations);
   CheckTimeouts(violations);
+  CheckRateLimits(violations);
   for (const LateArrival& late : m_late_arrivals) {
     if (IsCalm(late.left, late.arrived)) {
       violations.push_back(absl::StrCat(
--- a/src/platform/stand_in/soak_ledger.h
+++ b/src/platform/stand_in/soak_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,13 @@
   /** Time around a disturbance for which bounds don't hold. */
   static constexpr Duration kContactTime = Seconds(3);
 
+  /** From kContactTime after an upstream first stated a rate limit, a span of
+   * this length may bring kMaxLimitExcess times what the limit allows, and
+   * kLimitSlack requests. */
+  static constexpr Duration kLimitWindow = Seconds(4);
+  static constexpr double kMaxLimitExcess = 1.5;
+  static constexpr double kLimitSlack = 5;
+
   /** Longest time that the soak's routes let a request wait. */
   static constexpr Duration kRouteTimeout = Seconds(1);
   /** A request that has waited so long has this long to be answered. */
@@ -47,6 +55,12 @@
   void OnArrivalAfterLeaving(const std::string& upstream,
                              MonotonicTime left,
                              MonotonicTime now);
+  /** Notes that an upstream states a rate limit from now on, or none. */
+  void OnRateLimit(const std::string& upstream,
+                   std::optional<double> rate,
+                   MonotonicTime now);
+  /** Notes a request that reached an upstream which states a rate limit. */
+  void OnLimitedArrival(const std::string& upstream, MonotonicTime now);
   /** Notes the end of a send; a status of 0 stands for no answer. `whole` says
    * whether a success is what the upstream has made of this request. */
   void OnAnswer(const std::string& attempt,
@@ -76,6 +90,16 @@
     MonotonicTime ended;
   };
 
+  /** Time in which an upstream stated one rate limit, and its arrivals then. */
+  struct LimitedTime {
+    std::string upstream;
+    double rate = 0;
+    MonotonicTime begin;
+    std::vector<MonotonicTime> arrivals;
+  };
+
+  /** Checks that rate limits were kept in calm. */
+  void CheckRateLimits(std::vector<std::string>& violations) const;
   bool IsCalm(MonotonicTime begin, MonotonicTime end) const;
   void CheckRuns(std::vector<std::string>& violations) const;
   /** Checks that calm requests which were passed on got an answer. */
@@ -93,6 +117,9 @@
     MonotonicTime arrived;
   };
   std::vector<LateArrival> m_late_arrivals;
+  std::vector<LimitedTime> m_limited_times;
+  /** Index of the limited time of each upstream that has a limit now. */
+  std::map<std::string, std::size_t> m_limits;
 };
 
 }  // namespace kumquatcove::stand_in
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -56,6 +56,10 @@
 constexpr std::int64_t kMaxFaultMs = 3'000;
 constexpr std::uint64_t kMaxOverlap = 3;
 
+// Requests a second that a limited upstream accepts, a fifth of what each gets
+// otherwise.
+constexpr double kRateLimit = 1;
+
 constexpr std::int32_t kOk = 200;
 constexpr std::int32_t kNotFound = 404;
 
@@ -428,6 +432,16 @@
       return BeginUpstreamLinkFault(LinkFault::kDelayed);
     case SoakFault::kUpstreamLinkReset:
       return BeginUpstreamLinkFault(LinkFault::kReset);
+    case SoakFault::kUpstreamRateLimited: {
+      UpstreamStandIn* upstream = TakeUpstream();
+      if (upstream == nullptr) {
+        return nullptr;
+      }
+      OnIoThread([&] { upstream->SetRateLimit(kRateLimit); });
+      return [this, upstream] {
+        OnIoThread([&] { upstream->SetRateLimit(std::nullopt); });
+      };
+    }
   }
   return nullptr;
 }
@@ -522,9 +536,20 @@
       WaitUntilReady(name);
       return;
     }
+    case SoakWork::kUpstreamRateLimited:
+      LimitRate();
+      return;
   }
 }
 
+void SoakRun::LimitRate() {
+  UpstreamStandIn& upstream =
+      *m_upstreams[m_random.NextBelow(m_upstreams.size())];
+  OnIoThread([&] { upstream.SetRateLimit(kRateLimit); });
+  Sleep(SoakLedger::kContactTime + SoakLedger::kLimitWindow + Seconds(1));
+  OnIoThread([&] { upstream.SetRateLimit(std::nullopt); });
+}
+
 void SoakRun::DrainAndReplace() {
   const std::size_t index = m_random.NextBelow(m_upstreams.size());
   OnIoThread([&] {
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -47,6 +47,7 @@
   kUpstreamLinkOneWay,
   kUpstreamLinkDelayed,
   kUpstreamLinkReset,
+  kUpstreamRateLimited,
 };
 
 constexpr auto EnumNames(SoakFault) {
@@ -71,14 +72,16 @@
       Row{SoakFault::kUpstreamLinkCut, "upstream link cut"},
       Row{SoakFault::kUpstreamLinkOneWay, "upstream link cut one way"},
       Row{SoakFault::kUpstreamLinkDelayed, "upstream link delayed"},
-      Row{SoakFault::kUpstreamLinkReset, "upstream link reset"}};
+      Row{SoakFault::kUpstreamLinkReset, "upstream link reset"},
+      Row{SoakFault::kUpstreamRateLimited, "upstream rate limited"}};
 }
 
 /** Planned work of a soak. */
 enum class SoakWork {
   kUpstreamReplaced,
   kConfigurationChanged,
-  kInstanceRestarted
+  kInstanceRestarted,
+  kUpstreamRateLimited,
 };
 
 constexpr auto EnumNames(SoakWork) {
@@ -86,7 +89,8 @@
   return std::array{
       Row{SoakWork::kUpstreamReplaced, "upstream replaced"},
       Row{SoakWork::kConfigurationChanged, "configuration changed"},
-      Row{SoakWork::kInstanceRestarted, "instance restarted"}};
+      Row{SoakWork::kInstanceRestarted, "instance restarted"},
+      Row{SoakWork::kUpstreamRateLimited, "upstream rate limited"}};
 }
 
 /** What a soak plays. */
@@ -126,7 +130,8 @@
  *
  * Each round plays up to three faults that overlap, with planned work among
  * them in half of the rounds, lets them end, and then does planned work (an
- * upstream drained and replaced, a new configuration, an instance restarted)
+ * upstream drained and replaced, a new configuration, an instance restarted, a
+ * rate limit stated)
  * whose bounds are checked. Links to the store and to upstreams pass a proxy of
  * their own. Everything listens on addresses in 127.0.0.0/8 that no other run
  * uses at the same time. Thread safety: none.
@@ -182,6 +187,8 @@
   void WaitUntilAllReady();
   void PlayWork(SoakWork work);
   void DrainAndReplace();
+  /** Lets an upstream state a rate limit, which must be kept. */
+  void LimitRate();
   /** Publishes a configuration, which must be in force in time. */
   void ChangeConfiguration();
   /** Ends an instance in order; it must exit with 0 within its grace time. */
--- a/src/platform/stand_in/upstream_stand_in.cc
+++ b/src/platform/stand_in/upstream_stand_in.cc
@@ -80,6 +80,9 @@
 }
 
 void UpstreamStandIn::Crash() {
+  if (m_rate_limit) {
+    SetRateLimit(std::nullopt);
+  }
   ++m_incarnation;
   m_running.clear();
   m_waiting.clear();
@@ -99,6 +102,11 @@
   Register(false);
 }
 
+void UpstreamStandIn::SetRateLimit(std::optional<double> rate) {
+  m_rate_limit = rate;
+  m_ledger.OnRateLimit(m_settings.id, rate, emulator::ReadMonotonicClock());
+}
+
 void UpstreamStandIn::Handle(const Session& session) {
   if (PathOfTarget(std::string(session->GetRequest().target())) == "/health") {
     session->Respond(MakeAnswer(kOk, ""));
@@ -108,6 +116,9 @@
     session->Respond(MakeAnswer(kMisdirected, ""));
     return;
   }
+  if (m_rate_limit) {
+    m_ledger.OnLimitedArrival(m_settings.id, emulator::ReadMonotonicClock());
+  }
   if (m_left) {
     m_ledger.OnArrivalAfterLeaving(m_settings.id, *m_left,
                                    emulator::ReadMonotonicClock());
@@ -171,6 +182,9 @@
   answer.headers.push_back(
       {"Server-Load", absl::StrCat(m_running.size(), ",", m_waiting.size(), ",",
                                    m_settings.slots)});
+  if (m_rate_limit) {
+    answer.headers.push_back({"Server-Limit", absl::StrCat(*m_rate_limit)});
+  }
   return answer;
 }
 
--- a/src/platform/stand_in/upstream_stand_in.h
+++ b/src/platform/stand_in/upstream_stand_in.h
@@ -59,6 +59,9 @@
    * another service. Precondition: it has crashed. */
   void Restart(const std::string& id, const std::string& service);
 
+  /** States a rate limit in each answer from now on, or none any more. */
+  void SetRateLimit(std::optional<double> rate);
+
   /** Returns the link between the entry instances and this upstream. */
   LinkProxy& Link() { return m_link; }
 
@@ -83,6 +86,7 @@
   std::set<Session> m_running;
   std::deque<Session> m_waiting;
   std::optional<MonotonicTime> m_left;
+  std::optional<double> m_rate_limit;
   std::int64_t m_sequence = 0;
   std::int64_t m_started_ms;
   /** Grows at each end, so that work of an earlier incarnation is dropped. */
