Soak: the store is restored from a copy

The soak's store states its era, keeps a copy after each round, and can be restored from it after an outage; operator and upstreams write their rows again within half a second, fewer than were lost, so that later changes get versions that were given out before.

--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -56,6 +56,12 @@
 constexpr std::int64_t kMaxFaultMs = 3'000;
 constexpr std::uint64_t kMaxOverlap = 3;
 
+// Time in which all instances read what was written last.
+constexpr Duration kPropagationTime = Seconds(1);
+// Operator and upstreams write their rows again within this time after a
+// restore of the store.
+constexpr std::uint64_t kMaxRewriteMs = 500;
+
 // Requests a second that a limited upstream accepts, a fifth of what each gets
 // otherwise.
 constexpr double kRateLimit = 1;
@@ -432,6 +438,8 @@
       return BeginUpstreamLinkFault(LinkFault::kDelayed);
     case SoakFault::kUpstreamLinkReset:
       return BeginUpstreamLinkFault(LinkFault::kReset);
+    case SoakFault::kStoreRestored:
+      return BeginStoreRestore();
     case SoakFault::kUpstreamRateLimited: {
       UpstreamStandIn* upstream = TakeUpstream();
       if (upstream == nullptr) {
@@ -455,6 +463,43 @@
       [this] { OnIoThread([this] { m_store->SetFault(StoreFault::kNone); }); };
 }
 
+std::function<void()> SoakRun::BeginStoreRestore() {
+  if (std::exchange(m_store_in_use, true)) {
+    return nullptr;
+  }
+  OnIoThread([this] {
+    // More is lost than is written again afterwards, so that later changes get
+    // versions that were given out before.
+    for (int i = 0; i < 3; ++i) {
+      RenewUpstreams();
+    }
+  });
+  Sleep(kPropagationTime);
+  OnIoThread([this] { m_store->SetFault(StoreFault::kDown); });
+  return [this] {
+    OnIoThread([this] {
+      m_store->RestoreCopy();
+      m_store->SetFault(StoreFault::kNone);
+    });
+    Sleep(Milliseconds(
+        static_cast<std::int64_t>(m_random.NextBelow(kMaxRewriteMs))));
+    OnIoThread([this] {
+      PublishConfiguration(m_version);
+      RenewUpstreams();
+      // Their rows lapse, as they aren't renewed.
+      for (const std::unique_ptr<UpstreamStandIn>& upstream : m_retired) {
+        upstream->Deregister();
+      }
+    });
+  };
+}
+
+void SoakRun::RenewUpstreams() {
+  for (const std::unique_ptr<UpstreamStandIn>& upstream : m_upstreams) {
+    upstream->Renew();
+  }
+}
+
 std::function<void()> SoakRun::BeginInstanceFault(SoakFault fault) {
   auto* taken = TakeInstance();
   if (taken == nullptr) {
@@ -615,6 +660,7 @@
 
 SoakReport SoakRun::Play() {
   const MonotonicTime begin = emulator::ReadMonotonicClock();
+  OnIoThread([this] { m_store->KeepCopy(); });
   Sleep(Seconds(2));
   const int rounds = m_settings.script.empty()
                          ? m_settings.rounds
@@ -627,6 +673,7 @@
     NoteDisturbance([&] { PlayFaults(faults); });
     CheckProcesses();
     Sleep(SoakLedger::kContactTime);
+    OnIoThread([this] { m_store->KeepCopy(); });
     PlayWork(static_cast<SoakWork>(
         m_random.NextBelow(EnumNames(SoakWork{}).size())));
     CheckProcesses();
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -48,6 +48,7 @@
   kUpstreamLinkDelayed,
   kUpstreamLinkReset,
   kUpstreamRateLimited,
+  kStoreRestored,
 };
 
 constexpr auto EnumNames(SoakFault) {
@@ -73,7 +74,8 @@
       Row{SoakFault::kUpstreamLinkOneWay, "upstream link cut one way"},
       Row{SoakFault::kUpstreamLinkDelayed, "upstream link delayed"},
       Row{SoakFault::kUpstreamLinkReset, "upstream link reset"},
-      Row{SoakFault::kUpstreamRateLimited, "upstream rate limited"}};
+      Row{SoakFault::kUpstreamRateLimited, "upstream rate limited"},
+      Row{SoakFault::kStoreRestored, "store restored"}};
 }
 
 /** Planned work of a soak. */
@@ -176,6 +178,10 @@
    * concern has another fault. */
   std::function<void()> Begin(SoakFault fault);
   std::function<void()> BeginStoreFault(StoreFault fault);
+  /** The store is away, then back from a copy of some seconds ago; the operator
+   * and the upstreams write their rows again. */
+  std::function<void()> BeginStoreRestore();
+  void RenewUpstreams();
   std::function<void()> BeginInstanceFault(SoakFault fault);
   std::function<void()> BeginStoreLinkFault(LinkFault fault);
   std::function<void()> BeginUpstreamFault(SoakFault fault);
--- a/src/platform/stand_in/upstream_stand_in.cc
+++ b/src/platform/stand_in/upstream_stand_in.cc
@@ -75,6 +75,10 @@
   m_left = emulator::ReadMonotonicClock();
 }
 
+void UpstreamStandIn::Renew() {
+  Register(m_left.has_value());
+}
+
 void UpstreamStandIn::Deregister() {
   m_store.Remove("servers", m_settings.id);
 }
--- a/src/platform/stand_in/upstream_stand_in.h
+++ b/src/platform/stand_in/upstream_stand_in.h
@@ -51,6 +51,8 @@
 
   /** Announces that it leaves; it goes on to serve what comes. */
   void Drain();
+  /** Writes the row again, as after a restore of the store. */
+  void Renew();
   /** Removes the row of an upstream that has drained. */
   void Deregister();
   /** Ends without a word: connections break, nothing is answered. */
--- a/src/platform/stand_in/user_store_stand_in.cc
+++ b/src/platform/stand_in/user_store_stand_in.cc
@@ -91,6 +91,18 @@
   m_compacted = m_version;
 }
 
+void UserStoreStandIn::KeepCopy() {
+  m_copy = {m_rows, m_history, m_version};
+}
+
+void UserStoreStandIn::RestoreCopy() {
+  m_rows = m_copy.rows;
+  m_history = m_copy.history;
+  m_version = m_copy.version;
+  ++m_era;
+  m_feeds.clear();
+}
+
 void UserStoreStandIn::SetFault(StoreFault fault) {
   if (m_fault == StoreFault::kDown && fault != StoreFault::kDown) {
     m_server.Open();
@@ -122,7 +134,7 @@
     return;
   }
   if (m_fault == StoreFault::kBusy) {
-    session->Respond(MakeErrorAnswer(kUnavailable, "busy"));
+    Send(session, MakeErrorAnswer(kUnavailable, "busy"));
     return;
   }
   const std::string target(session->GetRequest().target());
@@ -136,10 +148,10 @@
       Respond(session, Write(session->GetRequest().body()));
       AnswerFeeds();
     } else {
-      session->Respond(MakeErrorAnswer(kNotFound, "no such call"));
+      Send(session, MakeErrorAnswer(kNotFound, "no such call"));
     }
   } catch (const std::exception& error) {
-    session->Respond(MakeErrorAnswer(kBadRequest, error.what()));
+    Send(session, MakeErrorAnswer(kBadRequest, error.what()));
   }
 }
 
@@ -149,10 +161,15 @@
       m_random.NextFraction() > kAnsweredShare) {
     session->Reset();
   } else {
-    session->Respond(answer);
+    Send(session, answer);
   }
 }
 
+void UserStoreStandIn::Send(const Session& session, HttpAnswer answer) const {
+  answer.headers.push_back({"Store-Era", std::to_string(m_era)});
+  session->Respond(answer);
+}
+
 json::object UserStoreStandIn::MakeReply() const {
   const double now =
       static_cast<double>(
@@ -193,7 +210,7 @@
   feed.session = session;
   feed.table = FindQueryParameter(target, "table");
   feed.after = NumberOf(FindQueryParameter(target, "after"));
-  if (feed.after < m_compacted) {
+  if (feed.after < m_compacted || feed.after > m_version) {
     Respond(session, MakeErrorAnswer(kGone, "history is gone"));
     return;
   }
--- a/src/platform/stand_in/user_store_stand_in.h
+++ b/src/platform/stand_in/user_store_stand_in.h
@@ -53,6 +53,12 @@
   /** Forgets the history, so that feeds must be started anew. */
   void Compact();
 
+  /** Keeps a copy of the present rows, from which they can be restored. */
+  void KeepCopy();
+  /** Loses all that was written since the last KeepCopy(), and gives its
+   * versions out again in a new era. */
+  void RestoreCopy();
+
   void SetFault(StoreFault fault);
 
   /** Returns the number of calls so far. */
@@ -80,6 +86,13 @@
     std::unique_ptr<boost::asio::steady_timer> timer;
   };
 
+  /** What RestoreCopy() restores. */
+  struct Copy {
+    std::map<RowKey, Row> rows;
+    std::vector<Change> history;
+    std::int64_t version = 0;
+  };
+
   void Handle(const Session& session);
   HttpAnswer Get(const std::string& target) const;
   void StartFeed(const Session& session);
@@ -88,6 +101,9 @@
   boost::json::array ChangesOf(const Feed& feed) const;
   void Apply(Change change);
   void AnswerFeeds();
+  /** Sends an answer with the era of the store. */
+  void Send(const Session& session, HttpAnswer answer) const;
+  /** Sends an answer, unless it is lost by a fault. */
   void Respond(const Session& session, const HttpAnswer& answer);
   boost::json::object MakeReply() const;
 
@@ -98,6 +114,8 @@
   std::int64_t m_version = 0;
   /** Changes up to this version are forgotten. */
   std::int64_t m_compacted = 0;
+  Copy m_copy;
+  std::int64_t m_era = 1;
   StoreFault m_fault = StoreFault::kNone;
   Random m_random;
   std::size_t m_calls = 0;
