--- a/src/dispatch/cluster/fake_dispatch_cluster.cc
+++ b/src/dispatch/cluster/fake_dispatch_cluster.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-FakeDispatchCluster::FakeDispatchCluster(std::vector<std::string> zones,
+FakeDispatchCluster::FakeDispatchCluster(const std::vector<std::string>& zones,
                                          std::uint64_t seed)
     : m_random(seed) {
   for (const std::string& zone : zones) {
--- a/src/dispatch/cluster/fake_dispatch_cluster.h
+++ b/src/dispatch/cluster/fake_dispatch_cluster.h
@@ -49,7 +49,8 @@
   static constexpr Duration kZoneDelay = Duration(500);
   static constexpr Duration kRegionDelay = Milliseconds(12);
 
-  FakeDispatchCluster(std::vector<std::string> zones, std::uint64_t seed);
+  FakeDispatchCluster(const std::vector<std::string>& zones,
+                      std::uint64_t seed);
 
   void AddInstance(const std::string& name, const std::string& zone);
   FakeRatedUpstream& AddUpstream(const std::string& id,
--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -133,7 +133,6 @@
                                  const RegistryCodec& codec)
     : m_context(settings.identity, settings.seed),
       m_settings(settings.dispatch),
-      m_codec(codec),
       m_registry(codec, FromSeconds(settings.dispatch.drain_s)),
       m_presence(codec.KeyPrefix(RegistryTable::kEntries)),
       m_dispatcher(settings.identity, settings.dispatch) {}
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -69,7 +69,6 @@
 
   Context m_context;
   DispatchSettings m_settings;
-  const RegistryCodec& m_codec;
   RegistrySync m_registry;
   EntryPresence m_presence;
   RequestDispatcher m_dispatcher;
