Refuse chunked bodies of callers whose lines don't end

The parser bounds headers and bodies, but not the size line of a chunk or a trailer, so that a caller could fill the memory of an instance with one of them. The buffer for what isn't parsed yet is bounded by the longest header and 64 KiB; beyond it the caller gets 431 as for a long header.

The test failed before: no answer came after a line of 1 MB.

--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -38,6 +38,9 @@
 constexpr std::int32_t kPayloadTooLarge = 413;
 constexpr std::int32_t kHeaderTooLarge = 431;
 constexpr std::int32_t kServiceUnavailable = 503;
+/** Bytes that may be read beyond a header. They also bound the size lines and
+ * trailers of chunked bodies, which the parser doesn't. */
+constexpr std::size_t kReadAheadBytes = 64U * 1024U;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 /** Pause after a failed accept, which would otherwise fail again immediately
  * while the process has no free file descriptors. */
@@ -126,6 +129,7 @@
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_state->limits.max_header_bytes));
     m_parser->body_limit(m_state->limits.max_body_bytes);
+    m_buffer.max_size(m_state->limits.max_header_bytes + kReadAheadBytes);
     m_stream.expires_after(m_state->limits.idle);
     http::async_read_header(
         m_stream, m_buffer, *m_parser,
--- a/src/runtime/request_server_test.cc
+++ b/src/runtime/request_server_test.cc
@@ -164,6 +164,21 @@
   CHECK(server.handler.disconnected.Values().empty());
 }
 
+// Guards against a caller that uses up the memory with a line without end: the
+// parser bounds headers and bodies, but not what it can't parse yet.
+TEST_CASE("A chunked body with a line without end is refused") {
+  ScriptedServer server(Echo);
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string many(1'000'000, 'a');
+  for (const std::string& body :
+       {"5;ext=" + many, "1\r\nx\r\n0\r\nX-T: " + many}) {
+    RawClient client(server.server.Port());
+    client.Send(head + body);
+    CHECK(HasStatus(client.ReadUntil("\r\n\r\n"), 431));
+  }
+}
+
 // Guards against a process that is killed because large bodies use up its
 // memory.
 TEST_CASE(
