Emulate the restore of a store from an older copy

POST /copy keeps a copy of the table and POST /restore brings it back; as in etcd the restored table has another cluster id, which here rises by one. The codec returns it as the era of a reply.

Tests: emulator (rows, revisions given out again, ids) and store codec (era of each kind of reply); no logic uses it yet.

--- a/src/emulator/key_value_table.cc
+++ b/src/emulator/key_value_table.cc
@@ -169,6 +169,12 @@
   return Execute(plan);
 }
 
+void KeyValueTable::Restore(const KeyValueTable& copy) {
+  m_rows = copy.m_rows;
+  m_revision = copy.m_revision;
+  ++m_cluster_id;
+}
+
 bool KeyValueTable::Holds(const TableCompare& compare) const {
   const auto found = m_rows.find(compare.key);
   const std::int64_t actual = TargetOf(
--- a/src/emulator/key_value_table.h
+++ b/src/emulator/key_value_table.h
@@ -128,6 +128,15 @@
   /** Returns the revision of the last change; 1 for an empty table. */
   std::int64_t Revision() const { return m_revision; }
 
+  /** Returns the id that distinguishes the table from the one that it was
+   * restored from. As in etcd, a restore changes it; here it rises. */
+  std::int64_t ClusterId() const { return m_cluster_id; }
+
+  /** Replaces all rows and the revision by those of `copy`, an earlier state of
+   * this table. Changes that were made since are lost, and their revisions are
+   * given out again. */
+  void Restore(const KeyValueTable& copy);
+
   TableRangeResult Range(const TableRange& range) const;
 
   /** Runs a transaction as a whole. Throws TableError, without any change, if
@@ -152,6 +161,7 @@
 
   Rows m_rows;
   std::int64_t m_revision = 1;
+  std::int64_t m_cluster_id = 1;
 };
 
 /** Returns whether a transaction could change the table. */
--- a/src/emulator/key_value_table_test.cc
+++ b/src/emulator/key_value_table_test.cc
@@ -233,4 +233,22 @@
   CHECK(table.Range({"d", "a", 0}).rows.empty());
 }
 
+TEST_CASE(
+    "Guards against a restore that keeps later changes, doesn't give their "
+    "revisions out again, or can't be told from the table before") {
+  KeyValueTable table;
+  table.Run({{}, {Make(TablePut{"k", "1"})}, {}});
+  const KeyValueTable copy = table;
+  table.Run({{}, {Make(TablePut{"k", "2"}), Make(TablePut{"l", ""})}, {}});
+  const std::int64_t lost = table.Revision();
+  table.Restore(copy);
+  CHECK(table.Range({"k", "", 0}).rows.at(0).value == "1");
+  CHECK(table.Range({"l", "", 0}).rows.empty());
+  CHECK(table.ClusterId() == copy.ClusterId() + 1);
+  table.Run({{}, {Make(TablePut{"m", ""})}, {}});
+  CHECK(table.Revision() == lost);
+  table.Restore(copy);
+  CHECK(table.ClusterId() == copy.ClusterId() + 2);
+}
+
 }  // namespace kumquatcove::emulator
--- a/src/emulator/platform.cc
+++ b/src/emulator/platform.cc
@@ -11,13 +11,14 @@
 #include "base/json_codec.h"
 #include "emulator/json_merge.h"
 #include "emulator/steady_clock.h"
-#include "emulator/table_gateway.h"
 
 namespace kumquatcove::emulator {
 namespace {
 
 namespace http = boost::beast::http;
 
+constexpr std::string_view kCopy = "/copy";
+constexpr std::string_view kRestore = "/restore";
 constexpr std::string_view kObjects = "/objects/";
 constexpr std::string_view kInstance = "/instances/";
 constexpr std::string_view kLeaving = "/leaving/";
@@ -59,6 +60,8 @@
   try {
     if (path == "/faults" || path == "/counters") {
       session->Respond(Control(request));
+    } else if (path == kCopy || path == kRestore) {
+      session->Respond(Backup(path));
     } else if (path == "/instances" || path.starts_with(kInstance) ||
                path.starts_with(kLeaving)) {
       if (m_faults.instance_list_down) {
@@ -84,6 +87,19 @@
   return JsonAnswer(200, boost::json::serialize(ToJson(m_faults)));
 }
 
+HttpAnswer Platform::Backup(const std::string& path) {
+  if (path == kCopy) {
+    m_copy = m_table;
+  } else if (m_copy) {
+    m_table.Restore(*m_copy);
+  } else {
+    return Problem(409, "there is no copy to restore");
+  }
+  return JsonAnswer(200, boost::json::serialize(boost::json::object{
+                             {"cluster_id", m_table.ClusterId()},
+                             {"revision", m_table.Revision()}}));
+}
+
 HttpAnswer Platform::Instances(const Request& request) {
   const std::string path = Path(request);
   const MonotonicTime now = ReadMonotonicClock();
@@ -167,8 +183,8 @@
   if (!AllowRead()) {
     return Overloaded();
   }
-  return JsonAnswer(200, boost::json::serialize(RangeToGateway(
-                             m_table.Range(range), m_table.Revision())));
+  return JsonAnswer(200, boost::json::serialize(
+                             RangeToGateway(m_table.Range(range), Header())));
 }
 
 HttpAnswer Platform::Transaction(const Request& request) {
@@ -177,8 +193,8 @@
     return Overloaded();
   }
   const TableTransactionResult result = m_table.Run(transaction);
-  return JsonAnswer(200, boost::json::serialize(
-                             TransactionToGateway(result, m_table.Revision())));
+  return JsonAnswer(
+      200, boost::json::serialize(TransactionToGateway(result, Header())));
 }
 
 HttpAnswer Platform::Object(const Request& request, const std::string& key) {
--- a/src/emulator/platform.h
+++ b/src/emulator/platform.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,7 @@
 #include "emulator/instance_list.h"
 #include "emulator/key_value_table.h"
 #include "emulator/platform_settings.h"
+#include "emulator/table_gateway.h"
 #include "emulator/token_bucket.h"
 
 namespace kumquatcove::emulator {
@@ -37,6 +39,11 @@
   using Request = HttpSession::Request;
 
   HttpAnswer Control(const Request& request);
+  /** Takes a copy of the table, or restores the last one. */
+  HttpAnswer Backup(const std::string& path);
+  TableHeader Header() const {
+    return {m_table.ClusterId(), m_table.Revision()};
+  }
   HttpAnswer Instances(const Request& request);
   HttpAnswer Execute(const Request& request);
   HttpAnswer Range(const Request& request);
@@ -50,6 +57,7 @@
 
   boost::asio::io_context& m_io;
   KeyValueTable m_table;
+  std::optional<KeyValueTable> m_copy;
   std::map<std::string, std::string> m_objects;
   InstanceList m_instances;
   TokenBucket m_reads;
--- a/src/emulator/table_gateway.cc
+++ b/src/emulator/table_gateway.cc
@@ -129,10 +129,10 @@
           ListFromGateway<TableOperation>(members, "failure", read)};
 }
 
-object Header(std::int64_t revision) {
-  return {{"cluster_id", "1"},
+object HeaderToGateway(const TableHeader& header) {
+  return {{"cluster_id", std::to_string(header.cluster_id)},
           {"member_id", "1"},
-          {"revision", std::to_string(revision)},
+          {"revision", std::to_string(header.revision)},
           {"raft_term", "1"}};
 }
 
@@ -148,23 +148,23 @@
 }
 
 struct ResultVisitor {
-  std::int64_t revision;
+  const TableHeader& header;
 
   object operator()(const TableRangeResult& result) const {
-    return {{"response_range", RangeToGateway(result, revision)}};
+    return {{"response_range", RangeToGateway(result, header)}};
   }
   object operator()(const TablePutResult&) const {
-    return {{"response_put", object{{"header", Header(revision)}}}};
+    return {{"response_put", object{{"header", HeaderToGateway(header)}}}};
   }
   object operator()(const TableDeleteResult& result) const {
-    object body{{"header", Header(revision)}};
+    object body{{"header", HeaderToGateway(header)}};
     if (result.deleted > 0) {
       body["deleted"] = std::to_string(result.deleted);
     }
     return {{"response_delete_range", std::move(body)}};
   }
   object operator()(const TableTransactionResult& result) const {
-    return {{"response_txn", TransactionToGateway(result, revision)}};
+    return {{"response_txn", TransactionToGateway(result, header)}};
   }
 };
 
@@ -180,8 +180,9 @@
   return ReadTransaction(json, 0);
 }
 
-object RangeToGateway(const TableRangeResult& result, std::int64_t revision) {
-  object json{{"header", Header(revision)}};
+object RangeToGateway(const TableRangeResult& result,
+                      const TableHeader& header) {
+  object json{{"header", HeaderToGateway(header)}};
   if (!result.rows.empty()) {
     boost::json::array rows;
     for (const TableRow& row : result.rows) {
@@ -199,15 +200,15 @@
 }
 
 object TransactionToGateway(const TableTransactionResult& result,
-                            std::int64_t revision) {
-  object json{{"header", Header(revision)}};
+                            const TableHeader& header) {
+  object json{{"header", HeaderToGateway(header)}};
   if (result.succeeded) {
     json["succeeded"] = true;
   }
   if (!result.results.empty()) {
     boost::json::array responses;
     for (const TableOperationResult& item : result.results) {
-      responses.push_back(std::visit(ResultVisitor{revision}, item.body));
+      responses.push_back(std::visit(ResultVisitor{header}, item.body));
     }
     json["responses"] = std::move(responses);
   }
--- a/src/emulator/table_gateway.h
+++ b/src/emulator/table_gateway.h
@@ -10,6 +10,12 @@
 
 namespace kumquatcove::emulator {
 
+/** What each answer tells of the table. */
+struct TableHeader {
+  std::int64_t cluster_id = 1;
+  std::int64_t revision = 1;
+};
+
 /**
  * Converts between table operations and the JSON form that the gateway of etcd
  * v3 uses.
@@ -21,9 +27,9 @@
 TableRange RangeFromGateway(const boost::json::value& json);
 TableTransaction TransactionFromGateway(const boost::json::value& json);
 boost::json::object RangeToGateway(const TableRangeResult& result,
-                                   std::int64_t revision);
+                                   const TableHeader& header);
 boost::json::object TransactionToGateway(const TableTransactionResult& result,
-                                         std::int64_t revision);
+                                         const TableHeader& header);
 
 }  // namespace kumquatcove::emulator
 
--- a/src/emulator/table_gateway_test.cc
+++ b/src/emulator/table_gateway_test.cc
@@ -26,7 +26,7 @@
 TEST_CASE("Guards against answers that the real gateway wouldn't give") {
   const TableTransactionResult result{
       false, {{TableRangeResult{{{"k", "", 2, 3, 1}}, 1}}, {TablePutResult{}}}};
-  const boost::json::object json = TransactionToGateway(result, 3);
+  const boost::json::object json = TransactionToGateway(result, {2, 3});
   CHECK_FALSE(json.contains("succeeded"));
   const auto& range =
       json.at("responses").at(0).at("response_range").as_object();
@@ -36,6 +36,7 @@
   CHECK_FALSE(row.contains("value"));
   CHECK(range.at("count") == "1");
   CHECK(range.at("header").at("revision") == "3");
+  CHECK(range.at("header").at("cluster_id") == "2");
 }
 
 TEST_CASE("Guards against requests that exhaust the stack or aren't base64") {
--- a/src/runtime/store_codec.cc
+++ b/src/runtime/store_codec.cc
@@ -241,6 +241,15 @@
   return number;
 }
 
+/** Returns the era of the store, which the API calls the id of its cluster; 0
+ * if the reply doesn't tell it. */
+std::int64_t DecodeEra(const json::object& document) {
+  const json::value* header = document.if_contains("header");
+  return header == nullptr || !ToObject(*header).contains("cluster_id")
+             ? 0
+             : NumberMember(ToObject(*header), "cluster_id");
+}
+
 /** Returns whether a transaction's conditions were met; the API omits the
  * member if it is false. */
 bool Succeeded(const json::object& reply) {
@@ -296,6 +305,7 @@
 
   void operator()(const StoreRead& read) const {
     const json::value document = Parse();
+    reply.era = DecodeEra(ToObject(document));
     const json::array& rows = ArrayMember(ToObject(document), "responses");
     if (rows.size() != read.keys.size()) {
       throw ReplyError("unexpected number of rows");
@@ -307,6 +317,7 @@
 
   void operator()(const StoreScan& scan) const {
     const json::value document = Parse();
+    reply.era = DecodeEra(ToObject(document));
     for (const json::value& row : ArrayMember(ToObject(document), "kvs")) {
       reply.rows.push_back(DecodeRow(row));
       if (reply.rows.back().key.compare(0, scan.prefix.size(), scan.prefix) !=
@@ -325,6 +336,7 @@
 
   void operator()(const StoreWrite& write) const {
     const json::value document = Parse();
+    reply.era = DecodeEra(ToObject(document));
     const json::array& responses = ArrayMember(ToObject(document), "responses");
     if (responses.size() != write.transactions.size()) {
       throw ReplyError("unexpected number of transaction results");
--- a/src/runtime/store_codec.h
+++ b/src/runtime/store_codec.h
@@ -12,7 +12,8 @@
  *
  * A StoreWrite is one transaction without conditions that contains one nested
  * transaction for each of its transactions. Version 0 in a condition is
- * expressed by a create revision of 0.
+ * expressed by a create revision of 0. The era of a reply is the cluster id of
+ * its header, which must rise with each restore of the store.
  */
 HttpRequest EncodeStoreOperation(const StoreOperation& operation);
 
--- a/src/runtime/store_codec_test.cc
+++ b/src/runtime/store_codec_test.cc
@@ -125,4 +125,17 @@
   }
 }
 
+TEST_CASE("The era of the store is read from each kind of reply") {
+  const StoreReply read = DecodeStoreReply(
+      StoreRead{{}}, Answer(200, R"({"header":{"cluster_id":"3"}})"));
+  const StoreReply scan = DecodeStoreReply(
+      StoreScan{"a", ""}, Answer(200, R"({"header":{"cluster_id":4}})"));
+  const StoreReply write = DecodeStoreReply(
+      StoreWrite{}, Answer(200, R"({"header":{"cluster_id":"5"}})"));
+  CHECK(read.era == 3);
+  CHECK(scan.era == 4);
+  CHECK(write.era == 5);
+  CHECK(DecodeStoreReply(StoreRead{{}}, Answer(200, "{}")).era == 0);
+}
+
 }  // namespace kumquatcove
