Lease no share twice after a restore of the store

The row tells the era of the store in which it was written. In a later one it counts as lost: nothing is leased until all leases that may be in use have ended.

--- a/src/limits/budget_ledger.cc
+++ b/src/limits/budget_ledger.cc
@@ -169,7 +169,7 @@
     OnWriteReply(context, reply);
   } else if (reply.status == StoreStatus::kOk && reply.rows.size() == 1 &&
              reply.rows[0].key == kShareTableKey) {
-    OnRow(context, reply.rows[0]);
+    OnRow(context, reply.rows[0], reply.era);
   } else {
     ScheduleRenewal(context, kRetryDelay);
   }
@@ -259,7 +259,9 @@
                      [](const auto& entry) { return entry.second.demand > 0; });
 }
 
-void BudgetLedger::OnRow(Context& context, const StoreRow& row) {
+void BudgetLedger::OnRow(Context& context,
+                         const StoreRow& row,
+                         std::int64_t era) {
   if (m_doubtful_version && *m_doubtful_version != row.version) {
     ClearDoubts();
   }
@@ -267,12 +269,14 @@
   if (row.version != 0) {
     table = DecodeShareTable(row.value);
   }
-  if (!table) {
+  if (!table || table->era.value_or(era) != era) {
     const std::uint64_t mark = context.NextUniqueNumber();
-    context.Record("budget_row_created", kShareTableKey);
-    Write(context, ShareTable{mark, mark, {}}, row.version);
+    context.Record("budget_row_created", kShareTableKey,
+                   {{"cause", table ? "store restored" : "no row"}});
+    Write(context, ShareTable{mark, mark, {}, era}, row.version);
     return;
   }
+  table->era = era;
   m_watch.OnTable(context.Now(), *table);
   AdoptRow(context, *table);
   const bool had_marks = HasMarks(*table);
@@ -414,7 +418,7 @@
   }
   if (answered && reply.results[0].rows.size() == 1) {
     if (++m_conflicts <= kMaxConflicts) {
-      OnRow(context, reply.results[0].rows[0]);
+      OnRow(context, reply.results[0].rows[0], reply.era);
     } else {
       ScheduleRenewal(context, kRetryDelay);
     }
--- a/src/limits/budget_ledger.h
+++ b/src/limits/budget_ledger.h
@@ -34,8 +34,8 @@
  * Slots stay in use after a lease has lapsed, until their requests end, at the
  * latest at the service's maximum deadline; so others reclaim leased slots only
  * kLeaseReclaim plus that deadline after the last renewal. A row that had to be
- * created anew leases nothing for the same times, whether the table is new or
- * the row was lost.
+ * created anew leases nothing for the same times, whether the table is new, the
+ * row was lost or the store was restored from an older copy.
  *
  * The lease in use is the smallest of the one last confirmed and those of
  * writes without a reply, which may still take effect. Thread safety: none;
@@ -109,7 +109,8 @@
   void MeasureDemand(const Context& context);
   bool NeedsLease() const;
 
-  void OnRow(Context& context, const StoreRow& row);
+  /** Handles the row as read in `era` of the store. */
+  void OnRow(Context& context, const StoreRow& row, std::int64_t era);
   void AdoptRow(const Context& context, const ShareTable& table);
   ShareHolder OwnShares(const Context& context, const ShareTable& table) const;
   std::int64_t AmountFor(const Context& context,
--- a/src/limits/budget_ledger_test.cc
+++ b/src/limits/budget_ledger_test.cc
@@ -285,6 +285,10 @@
                                          : StoreFault::kNone);
   } else if (kind == 24) {
     world.store.Erase(kShareTableKey);
+  } else if (kind == 25) {
+    world.store.TakeCopy();
+  } else if (kind == 26) {
+    world.store.RestoreCopy();
   } else {
     world.store.Put(kShareTableKey, second % 2 == 0 ? "{" : "{}");
   }
@@ -294,12 +298,14 @@
 
 TEST_CASE(
     "The sum over all instances never exceeds a limit, whatever replies are "
-    "lost or late, whichever instances die or freeze, and if the row is lost") {
+    "lost or late, whichever instances die or freeze, and if the row is lost "
+    "or "
+    "restored from a copy") {
   int most_slots = 0;
   CHECK(rc::check([&] {
     const auto commands = *rc::gen::resize(
         150, rc::gen::container<std::vector<Command>>(rc::gen::tuple(
-                 rc::gen::inRange(0, 26), rc::gen::inRange(0, 42),
+                 rc::gen::inRange(0, 28), rc::gen::inRange(0, 42),
                  rc::gen::inRange(0, 1000))));
     for (std::uint64_t seed = 0; seed < 4; ++seed) {
       LedgerWorld world(seed);
@@ -388,6 +394,30 @@
   CHECK(world.AdmittedSince(since) > 0.4 * kCap * 5);
 }
 
+// Guards against leases of the copy that are granted again while those made
+// since are in use.
+TEST_CASE(
+    "After a restore of the store no share is in use twice, and leases are "
+    "granted again later") {
+  LedgerWorld world(14);
+  world.Advance(Seconds(25));
+  world.store.TakeCopy();
+  for (int i = 1; i < kInstances; ++i) {
+    world.SetGreedy(i, false);
+  }
+  world.Advance(Seconds(40));
+  world.store.RestoreCopy();
+  for (int i = 1; i < kInstances; ++i) {
+    world.SetGreedy(i, true);
+  }
+  world.Advance(Seconds(5));
+  CHECK(world.violation == "");
+  world.Advance(Seconds(40));
+  CHECK(world.violation == "");
+  CHECK(world.Ledger(1).ShareOf(world.ContextOf(1), RateLimit()) >
+        1.5 * kCap / 2.0 / kMaxInstances);
+}
+
 TEST_CASE("A smaller declared limit holds at once for all instances") {
   LedgerWorld world(9);
   world.Advance(Seconds(40));
--- a/src/limits/share_table.h
+++ b/src/limits/share_table.h
@@ -49,9 +49,14 @@
   std::uint64_t rates_unknown = 0;
   std::uint64_t slots_unknown = 0;
   std::vector<ShareHolder> holders;
+  /** Era of the store in which the row was written. In a later one the leases
+   * that were granted after the copy was made aren't in the row. */
+  std::optional<std::int64_t> era;
   friend bool operator==(const ShareTable&, const ShareTable&) = default;
 };
-BOOST_DESCRIBE_STRUCT(ShareTable, (), (rates_unknown, slots_unknown, holders))
+BOOST_DESCRIBE_STRUCT(ShareTable,
+                      (),
+                      (rates_unknown, slots_unknown, holders, era))
 
 inline constexpr char kShareTableKey[] = "budget/shares";
 inline constexpr std::size_t kMaxShareHolders = 64;
--- a/src/protocol/fake_store.h
+++ b/src/protocol/fake_store.h
@@ -50,7 +50,8 @@
 
 /**
  * In-memory fake of the platform's table for tests of modules that call the
- * store. Simulates the faults of StoreFault. Versions are never reused.
+ * store. Simulates the faults of StoreFault, and restores from an older copy.
+ * Versions are never reused within one era.
  *
  * Thread safety: none.
  */
@@ -128,6 +129,7 @@
         m_applications.erase(m_applications.begin());
         Pending done = next.pending;
         done.reply = Run(done.call.operation);
+        done.reply.era = m_era;
         if (next.in_time) {
           m_replies.emplace(next.reply_at, done);
         }
@@ -147,6 +149,17 @@
                       operation);
   }
 
+  /** Copies the rows, for a later RestoreCopy. */
+  void TakeCopy() { m_copy = {m_rows, m_revision}; }
+
+  /** Begins a new era with the rows and versions of the last copy; without any,
+   * with an empty table. */
+  void RestoreCopy() {
+    m_rows = m_copy.rows;
+    m_revision = m_copy.revision;
+    ++m_era;
+  }
+
   /** Sets a row to arbitrary text, for example to simulate corruption. */
   void Put(const std::string& key, std::string value) {
     m_rows[key] = {key, ++m_revision, std::move(value)};
@@ -165,6 +178,10 @@
     StoreReply reply;
     bool applied = false;
   };
+  struct Copy {
+    std::map<std::string, StoreRow> rows;
+    std::int64_t revision = 0;
+  };
   struct Application {
     Pending pending;
     MonotonicTime reply_at;
@@ -251,6 +268,8 @@
   std::map<int, StoreFault> m_client_faults;
   std::map<std::string, StoreRow> m_rows;
   std::int64_t m_revision = 0;
+  std::int64_t m_era = 1;
+  Copy m_copy;
   std::size_t m_calls = 0;
   std::multimap<MonotonicTime, Application> m_applications;
   std::multimap<MonotonicTime, Pending> m_replies;
