Write the catalogue back to a store that was restored without it

An instance that reads the head and finds it behind writes the entries that are newer in one transaction, on the condition that the head is unchanged; every edit changes it. Edits are refused until then, as before.

--- a/src/configuration/configuration_sync.cc
+++ b/src/configuration/configuration_sync.cc
@@ -204,6 +204,9 @@
       break;
     case CallKind::kPrune:
       break;
+    case CallKind::kWriteBack:
+      OnWrittenBack(context, reply);
+      break;
   }
   UpdateReadiness(context, members);
 }
@@ -395,6 +398,7 @@
     StartScan(context);
   } else if (head->revision < catalogue.Revision()) {
     RecordStoreFault(context, "catalogue_store_behind", std::string(kHeadKey));
+    WriteBack(context, reply.rows[0], head->revision);
   } else {
     m_store_fault.clear();
   }
@@ -425,6 +429,45 @@
   RecordStoreRevision(context, call, revision);
 }
 
+void ConfigurationSync::WriteBack(Context& context,
+                                  const StoreRow& head_row,
+                                  std::int64_t store_revision) {
+  if (IsCalling(CallKind::kWriteBack)) {
+    return;
+  }
+  const CatalogueIndex& catalogue = context.Catalogue();
+  StoreTransaction transaction;
+  // Each edit changes the head, so the condition excludes one that was
+  // committed meanwhile.
+  transaction.conditions = {{std::string(kHeadKey), head_row.version}};
+  for (const CatalogueEntry& entry : catalogue.Snapshot().entries) {
+    if (entry.revision > store_revision) {
+      transaction.mutations.push_back(
+          {EntryKey(EntryName(entry.body)), EncodeRow(entry)});
+    }
+  }
+  if (transaction.mutations.size() > kMaxEntriesWrittenBack) {
+    RecordStoreFault(context, "catalogue_not_written_back",
+                     std::string(kHeadKey));
+    return;
+  }
+  transaction.mutations.push_back(
+      {std::string(kHeadKey),
+       EncodeRow(HeadRow{catalogue.Revision(), catalogue.Digest()})});
+  Call(context, CallKind::kWriteBack, StoreWrite{{std::move(transaction)}});
+}
+
+void ConfigurationSync::OnWrittenBack(Context& context,
+                                      const StoreReply& reply) {
+  const bool committed = reply.status == StoreStatus::kOk &&
+                         reply.results.size() == 1 &&
+                         reply.results[0].committed;
+  // Otherwise the next poll of the head shows what is left to be written.
+  context.Record("catalogue_written_back",
+                 std::to_string(context.Catalogue().Revision()),
+                 {{"committed", committed ? "true" : "false"}});
+}
+
 void ConfigurationSync::OnHistory(Context& context,
                                   RequestId request,
                                   const StoreReply& reply) {
--- a/src/configuration/configuration_sync.h
+++ b/src/configuration/configuration_sync.h
@@ -24,6 +24,9 @@
 /** Time after which a starting node that can't reach the store serves with the
  * catalogue of its peers. */
 inline constexpr Duration kPeerOnlyStartDelay = Seconds(2);
+/** Maximum number of entries that are written back after a restore of the
+ * store; they are written in one transaction. */
+inline constexpr std::size_t kMaxEntriesWrittenBack = 100;
 /** Number of edit rows that are kept in the store, for HistoryCommand and to
  * detect repeated edit ids. */
 inline constexpr std::size_t kMaxHistory = 200;
@@ -33,7 +36,9 @@
  * edits of operators.
  *
  * Edits are committed in the store only; peers forward committed revisions. The
- * revision in force never decreases. Thread safety: none; owned by one reducer.
+ * revision in force never decreases: if the store was restored from a copy that
+ * lacks edits, the entries in force are written back. Thread safety: none;
+ * owned by one reducer.
  */
 class ConfigurationSync {
  public:
@@ -91,7 +96,15 @@
   bool IsStoreReachable() const { return m_store_reachable; }
 
  private:
-  enum class CallKind { kHead, kScan, kEdit, kHistory, kPruneScan, kPrune };
+  enum class CallKind {
+    kHead,
+    kScan,
+    kEdit,
+    kHistory,
+    kPruneScan,
+    kPrune,
+    kWriteBack
+  };
   struct StoreCall {
     CallKind kind = CallKind::kHead;
     MonotonicTime sent;
@@ -121,6 +134,11 @@
                         const std::string& key);
   void OnHead(Context& context, const StoreCall& call, const StoreReply& reply);
   void OnScan(Context& context, const StoreCall& call, const StoreReply& reply);
+  /** Writes the entries in force that are newer than the store's head. */
+  void WriteBack(Context& context,
+                 const StoreRow& head_row,
+                 std::int64_t store_revision);
+  static void OnWrittenBack(Context& context, const StoreReply& reply);
   static void OnHistory(Context& context,
                         RequestId request,
                         const StoreReply& reply);
--- a/src/configuration/fake_store.h
+++ b/src/configuration/fake_store.h
@@ -18,7 +18,7 @@
 
 /**
  * Simulation of the platform's table with faults: unavailable, slow, reply lost
- * after the effect, effect after the timeout.
+ * after the effect, effect after the timeout, restored from an older copy.
  *
  * Thread safety: none.
  */
@@ -105,6 +105,16 @@
   }
 
   const std::map<std::string, StoreRow>& Rows() const { return m_rows; }
+
+  /** Copies the rows, for a later RestoreCopy. */
+  void TakeCopy() { m_copy = {m_rows, m_version}; }
+
+  /** Replaces rows and versions by those of the last copy. */
+  void RestoreCopy() {
+    m_rows = m_copy.rows;
+    m_version = m_copy.version;
+  }
+
   void Overwrite(const std::string& key, const std::string& value) {
     m_rows[key] = {key, ++m_version, value};
   }
@@ -122,6 +132,11 @@
     bool replied = false;
   };
 
+  struct Copy {
+    std::map<std::string, StoreRow> rows;
+    std::int64_t version = 0;
+  };
+
   Duration Delay() {
     return Duration(m_random.NextBelow(
         static_cast<std::uint64_t>(m_faults.max_delay.count()) + 1));
@@ -177,6 +192,7 @@
   Faults m_faults;
   std::map<std::string, StoreRow> m_rows;
   std::int64_t m_version = 0;
+  Copy m_copy;
   std::vector<Pending> m_pending;
 };
 
