--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -35,7 +35,7 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024U;
 // Bytes that are read but not parsed yet: a header, or a line of a chunked
 // body, which the parser doesn't bound.
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{2} * kMaxHeaderBytes;
 // Interim answers, and answers to earlier requests, before the awaited one.
 constexpr int kMaxSkippedAnswers = 32;
 constexpr int kFirstFinalStatus = 200;
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -40,7 +40,7 @@
 constexpr std::int32_t kServiceUnavailable = 503;
 /** Bytes that may be read beyond a header. They also bound the size lines and
  * trailers of chunked bodies, which the parser doesn't. */
-constexpr std::size_t kReadAheadBytes = 64U * 1024U;
+constexpr std::size_t kReadAheadBytes = 65'536;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 /** Pause after a failed accept, which would otherwise fail again immediately
  * while the process has no free file descriptors. */
