Test a restore of the store with real processes

The emulated platform is restored from a copy after charges were answered, an upstream was drained and the instance of some charges was killed: resends get their recorded answers, or an unknown outcome from what was lost, nothing runs again, and the edit is in force everywhere.

--- a/src/deployment/end_to_end_test.cc
+++ b/src/deployment/end_to_end_test.cc
@@ -206,6 +206,56 @@
   }
 }
 
+// Guards against charges that run twice because a restored table lacks their
+// claims.
+TEST_CASE(
+    "After a restore of the store no resent charge runs again, and an edit "
+    "that it lost stays in force") {
+  LocalDeployment deployment(MakeSettings(7));
+  const std::vector<InstanceId> instances = deployment.Instances();
+  const auto charge = [&](const InstanceId& entry, int number, bool resend) {
+    std::vector<HttpHeader> headers = {
+        {"Idempotency-Key", "charge-" + std::to_string(number)}};
+    if (resend) {
+      headers.push_back({"Kumquatcove-Resend", "1"});
+    }
+    const std::optional<HttpAnswer> answer =
+        deployment.Send(entry, "POST", "/caja/charges", headers);
+    return answer ? HeaderOf(*answer, "Kumquatcove-Outcome") : "";
+  };
+  deployment.TakePlatformCopy();
+  const int charges = 2 * static_cast<int>(instances.size());
+  for (int number = 0; number < charges; ++number) {
+    const auto entry = static_cast<std::size_t>(number) % instances.size();
+    REQUIRE(charge(instances[entry], number, false) == "ran");
+  }
+  deployment.RunOperatorTool(
+      {"drain", UpstreamOf(deployment, "vitrina"), "--wait"});
+  const std::int64_t edited =
+      deployment.Status(instances.front())->catalogue_revision;
+
+  deployment.Kill(instances[0]);
+  deployment.RestorePlatformCopy();
+  // The instances read the head of the catalogue each second.
+  Sleep(Seconds(2));
+  for (int number = 0; number < charges; ++number) {
+    const auto entry = static_cast<std::size_t>(number + 1) % instances.size();
+    const bool lost = static_cast<std::size_t>(number) % instances.size() == 0;
+    if (entry != 0) {
+      CHECK(charge(instances[entry], number, true) ==
+            (lost ? "unknown" : "ran"));
+    }
+  }
+  deployment.StartInstance(instances[0]);
+  REQUIRE(deployment.WaitUntilServing(instances[0], Seconds(10)));
+  CHECK(charge(instances[0], 0, true) == "unknown");
+  CHECK(charge(instances[0], charges, false) == "ran");
+  CHECK(RepeatedKeys(deployment).empty());
+  for (const InstanceId& instance : instances) {
+    CHECK(deployment.Status(instance)->catalogue_revision >= edited);
+  }
+}
+
 TEST_CASE(
     "A drained upstream gets no new work after 2 s and no request is cut") {
   LocalDeployment deployment(MakeSettings(3));
--- a/src/deployment/local_deployment.cc
+++ b/src/deployment/local_deployment.cc
@@ -245,6 +245,14 @@
   Call(Port(kPlatformPort), "POST", "/faults", boost::json::serialize(faults));
 }
 
+void LocalDeployment::TakePlatformCopy() {
+  Call(Port(kPlatformPort), "POST", "/copy", "");
+}
+
+void LocalDeployment::RestorePlatformCopy() {
+  Call(Port(kPlatformPort), "POST", "/restore", "");
+}
+
 void LocalDeployment::SetUpstreamFaults(const std::string& upstream,
                                         const boost::json::object& faults) {
   boost::json::object body = faults;
--- a/src/deployment/local_deployment.h
+++ b/src/deployment/local_deployment.h
@@ -98,6 +98,9 @@
                          const std::string& report_file);
 
   void SetPlatformFaults(const boost::json::object& faults);
+  /** Copies the platform's table, for a later RestorePlatformCopy. */
+  void TakePlatformCopy();
+  void RestorePlatformCopy();
   /** Switches faults of one upstream. */
   void SetUpstreamFaults(const std::string& upstream,
                          const boost::json::object& faults);
