Split connections, crash checks, learning and pending requests from the dispatcher

Four classes without decisions of their own on requests take parts of it: UpstreamConnections, CrashMonitor, AnswerLearner and PendingRequests. No change of behaviour.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -12,10 +12,14 @@
  * without network or clock. Limits that apply to all instances together are
  * divided among them, so that no messages are needed to enforce them.
  */
+#include "dispatch/answer_learner.h"
+#include "dispatch/crash_checks.h"
+#include "dispatch/crash_monitor.h"
 #include "dispatch/crash_suspicions.h"
 #include "dispatch/dispatch_reducer.h"
 #include "dispatch/hit_probability_estimator.h"
 #include "dispatch/idle_connections.h"
+#include "dispatch/pending_requests.h"
 #include "dispatch/permit_issuer.h"
 #include "dispatch/placement.h"
 #include "dispatch/recent_objects.h"
@@ -29,6 +33,7 @@
 #include "dispatch/sliding_count.h"
 #include "dispatch/stated_rate_limit.h"
 #include "dispatch/time_slot_pacer.h"
+#include "dispatch/upstream_connections.h"
 #include "dispatch/upstream_rate_limiter.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -1,33 +1,22 @@
 #include "dispatch/request_dispatcher.h"
 
 #include <algorithm>
-#include <cassert>
+#include <limits>
 #include <utility>
 
 #include "base/hash.h"
+#include "dispatch/answer_status.h"
 #include "dispatch/request_log.h"
 
 namespace kumquatcove {
 namespace {
 
-// Bounds the memory of requests in progress.
-constexpr std::size_t kMaxPendingRequests = 4'000;
-
 // Timeout for connecting to an upstream, if two round trips don't take longer.
 // A live one answers within one round trip; one that has lost its power or its
 // network doesn't answer at all, and waiting for the kernel to retransmit a
 // lost packet would cost more than using another upstream.
 constexpr Duration kConnectTimeout = Milliseconds(350);
 
-// An upstream that has answered no instance of the region for twice as long as
-// a request should have taken, and for at least kMinUnresponsiveTime, may have
-// crashed: a new connection to it is opened as a check. The check is cheap, so
-// it may also be started by stragglers.
-constexpr int kUnresponsiveRatio = 2;
-constexpr Duration kMinUnresponsiveTime = Milliseconds(250);
-// Timeout of that connection, if two round trips don't take longer.
-constexpr Duration kUnresponsiveCheckTimeout = Milliseconds(150);
-
 // An upstream ends work itself at the deadline that it was sent; its answer
 // needs up to this time to arrive.
 constexpr Duration kAnswerMargin = Milliseconds(120);
@@ -48,38 +37,12 @@
 // Retry time until the configuration is available.
 constexpr Duration kNotReadyRetryAfter = Milliseconds(300);
 
-constexpr std::int32_t kFirstServerError = 500;
-constexpr std::int32_t kFirstSuccess = 200;
-constexpr std::int32_t kFirstRedirect = 300;
-constexpr std::int32_t kRequestTimeout = 408;
-constexpr std::int32_t kMisdirected = 421;
-constexpr std::int32_t kTooManyRequests = 429;
-constexpr std::int32_t kUnavailable = 503;
-
-bool IsSuccess(std::int32_t status) {
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
-/** Returns whether a status tells a caller that its request has not run. */
-bool PromisesNotRun(std::int32_t status) {
-  return status == kRequestTimeout || status == kMisdirected ||
-         status == kTooManyRequests || status == kUnavailable;
-}
-
-CallerAnswer MakeAnswer(Outcome outcome, RefusalReason reason) {
-  CallerAnswer answer;
-  answer.outcome = outcome;
-  answer.reason = reason;
-  return answer;
-}
-
 }  // namespace
 
 RequestDispatcher::RequestDispatcher(const Identity& self,
                                      const DispatchSettings& settings)
     : m_region(self.region),
       m_routes(std::make_shared<const RouteTable>()),
-      m_learner(m_times, m_hit_probabilities),
       m_distances(self.zone, self.region, settings),
       m_placement(m_upstreams,
                   m_times,
@@ -88,8 +51,14 @@
                   self.region),
       m_overflow(settings.max_region_shift),
       m_shared_load(m_upstreams),
+      m_answers(m_upstreams,
+                m_times,
+                m_hit_probabilities,
+                m_distances,
+                m_shared_load),
       m_rate_limiter(m_upstreams),
-      m_resends(settings) {}
+      m_resends(settings),
+      m_crashes(m_upstreams, m_distances, m_connections) {}
 
 void RequestDispatcher::SetSettings(const DispatchSettings& settings) {
   m_distances.SetSettings(settings);
@@ -113,21 +82,14 @@
       known != nullptr && known->registration.address != registration.address;
   m_upstreams.OnRegistered(registration, region, context.Now());
   if (moved || registration.draining) {
-    CloseIdle(context, registration.id);
+    m_connections.CloseIdle(context, registration.id);
   }
   PlaceWaiting(context, registration.service);
 }
 
 void RequestDispatcher::OnUpstreamGone(Context& context, const UpstreamId& id) {
   m_upstreams.MarkRemoved(id);
-  CloseIdle(context, id);
-}
-
-void RequestDispatcher::CloseIdle(Context& context,
-                                  const UpstreamId& upstream) {
-  for (const ConnectionId connection : m_idle.TakeAll(upstream)) {
-    context.Emit(CloseConnection{connection});
-  }
+  m_connections.CloseIdle(context, id);
 }
 
 void RequestDispatcher::OnEvacuationChanged(const ZoneName& zone,
@@ -135,15 +97,6 @@
   m_upstreams.SetEvacuated(zone, evacuated);
 }
 
-void RequestDispatcher::OnSuspicion(Context& context,
-                                    const Suspicion& suspicion) {
-  if (suspicion.level == SuspicionLevel::kCleared) {
-    m_suspicions.RecordSuccess(suspicion.content_hash);
-  } else {
-    m_suspicions.RecordBreak(suspicion.content_hash, context.Now());
-  }
-}
-
 const Route* RequestDispatcher::FindRoute(const HttpRequest& http) const {
   const std::string_view target = http.target;
   return m_routes->Find(http.host, target.substr(0, target.find('?')));
@@ -151,10 +104,10 @@
 
 RefusalReason RequestDispatcher::CheckAdmission(const DispatchRequest& request,
                                                 MonotonicTime now) const {
-  if (m_requests.size() > kMaxPendingRequests) {
+  if (m_requests.Count() > PendingRequests::kMaxRequests) {
     return RefusalReason::kOverloaded;
   }
-  if (m_suspicions.IsRejected(request.content_hash, now)) {
+  if (m_crashes.IsRejected(request.content_hash, now)) {
     return RefusalReason::kQuarantined;
   }
   return RefusalReason::kNone;
@@ -162,7 +115,7 @@
 
 void RequestDispatcher::OnRequestArrived(Context& context,
                                          const RequestArrived& event) {
-  DispatchRequest& request = m_requests[event.request];
+  DispatchRequest& request = m_requests.Add(event.request);
   request.id = event.request;
   request.http = std::make_shared<const HttpRequest>(event.http);
   request.attempt = event.attempt;
@@ -286,7 +239,7 @@
   constexpr int kMaxFailures = 3;
   int failures = 0;
   for (const RequestId id : found->second.InOrder(context.Now())) {
-    DispatchRequest* request = Find(id);
+    DispatchRequest* request = m_requests.Find(id);
     if (request == nullptr) {
       continue;
     }
@@ -349,10 +302,10 @@
   m_overflow.OnPlaced(send.choice.overflow, now);
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
-      m_idle.Take(send.upstream, request.IsIdempotent(), now);
-  send.connection = idle ? *idle : NextConnection();
+      m_connections.Take(send.upstream, request.IsIdempotent(), now);
+  send.connection = idle ? *idle : m_connections.NextId();
   send.reused = idle.has_value();
-  m_connections[send.connection] = request.id;
+  m_requests.Connect(send.connection, request.id);
   request.active = std::move(send);
   if (idle) {
     Send(context, request);
@@ -375,13 +328,13 @@
 
 void RequestDispatcher::OnConnectionOpened(Context& context,
                                            ConnectionId connection) {
-  if (const std::optional<CrashCheck> check = m_crash_checks.Take(connection)) {
+  if (const std::optional<CrashCheck> check = m_crashes.Take(connection)) {
     // The upstream is alive: only the connection was lost.
     m_upstreams.OnConnected(check->upstream, context.Now());
-    m_idle.Add(check->upstream, connection, std::nullopt, context.Now());
+    m_connections.Add(context, check->upstream, connection);
     return;
   }
-  DispatchRequest* request = FindByConnection(connection);
+  DispatchRequest* request = m_requests.FindByConnection(connection);
   if (request == nullptr || !request->active) {
     context.Emit(CloseConnection{connection});
     return;
@@ -409,14 +362,14 @@
 void RequestDispatcher::OnConnectionLost(Context& context,
                                          const ConnectionLost& event) {
   if (const std::optional<CrashCheck> check =
-          m_crash_checks.Take(event.connection)) {
+          m_crashes.Take(event.connection)) {
     OnCrashed(context, *check);
     return;
   }
-  if (m_idle.Remove(event.connection)) {
+  if (m_connections.Remove(event.connection)) {
     return;
   }
-  DispatchRequest* request = FindByConnection(event.connection);
+  DispatchRequest* request = m_requests.FindByConnection(event.connection);
   if (request == nullptr || !request->active) {
     return;
   }
@@ -438,7 +391,7 @@
                  {{"request", FormatRequestId(request.id)}});
   EndSend(context, request, SendResult::kAbandoned);
   m_upstreams.OnConnectFailed(upstream, context.Now());
-  CloseIdle(context, upstream);
+  m_connections.CloseIdle(context, upstream);
   // No request was sent, so this isn't a resend.
   Enqueue(context, request);
 }
@@ -449,7 +402,8 @@
                  {{"upstream", upstream.Text()}, {"attempt", request.attempt}});
   request.may_have_run = true;
   EndSend(context, request, SendResult::kFailed);
-  CheckForCrash(context, upstream, request.content_hash);
+  m_crashes.OnConnectionBroken(context, upstream, request.content_hash,
+                               kConnectTimeout);
   if (request.abandoned) {
     Refuse(context, request, RefusalReason::kUpstreamFailed, Duration::zero());
     return;
@@ -460,68 +414,10 @@
   }
 }
 
-void RequestDispatcher::CheckForCrash(Context& context,
-                                      const UpstreamId& upstream,
-                                      std::uint64_t content_hash) {
-  if (!m_crash_checks.Join(upstream, content_hash)) {
-    StartCheck(context, upstream, kConnectTimeout, {content_hash});
-  }
-}
-
-void RequestDispatcher::StartCheck(Context& context,
-                                   const UpstreamId& upstream,
-                                   Duration timeout,
-                                   std::vector<std::uint64_t> contents) {
-  const TrackedUpstream* tracked = m_upstreams.Find(upstream);
-  if (tracked == nullptr) {
-    return;
-  }
-  const ConnectionId connection = NextConnection();
-  m_crash_checks.Start(
-      connection, {upstream, context.Now() + timeout, std::move(contents)});
-  context.Emit(
-      OpenConnection{connection, upstream, tracked->registration.address});
-}
-
-void RequestDispatcher::CheckIfUnresponsive(Context& context,
-                                            const DispatchRequest& request) {
-  if (!request.active || !request.active->sent) {
-    return;
-  }
-  const ActiveSend& send = *request.active;
-  const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
-  if (upstream == nullptr || upstream->last_contact > send.sent_at) {
-    return;
-  }
-  const Duration round_trip =
-      m_distances.RoundTrip(upstream->registration.zone);
-  const Duration limit =
-      std::max(kMinUnresponsiveTime,
-               (send.choice.work_time + round_trip) * kUnresponsiveRatio);
-  if (context.Now() - send.sent_at < limit ||
-      m_crash_checks.IsRunning(send.upstream)) {
-    return;
-  }
-  context.Record(
-      "upstream_silent", send.upstream.Text(),
-      {{"request", FormatRequestId(request.id)},
-       {"waited_us", std::to_string((context.Now() - send.sent_at).count())}});
-  StartCheck(context, send.upstream,
-             std::max(kUnresponsiveCheckTimeout, round_trip * 2), {});
-}
-
 void RequestDispatcher::ResendFrom(Context& context,
                                    const UpstreamId& upstream) {
-  std::vector<RequestId> waiting;
-  for (const auto& [id, request] : m_requests) {
-    if (request.active && request.active->sent &&
-        request.active->upstream == upstream && !request.abandoned &&
-        request.IsIdempotent()) {
-      waiting.push_back(id);
-    }
-  }
-  for (const RequestId id : waiting) {
-    DispatchRequest* request = Find(id);
+  for (const RequestId id : m_requests.ListIdempotentAt(upstream)) {
+    DispatchRequest* request = m_requests.Find(id);
     if (request == nullptr || !MayResend(*request, context.Now())) {
       continue;
     }
@@ -540,22 +436,14 @@
   context.Record("upstream_unreachable", check.upstream.Text(),
                  {{"contents", std::to_string(check.contents.size())}});
   m_upstreams.OnConnectFailed(check.upstream, context.Now());
-  CloseIdle(context, check.upstream);
+  m_connections.CloseIdle(context, check.upstream);
   ResendFrom(context, check.upstream);
-  for (const std::uint64_t content : check.contents) {
-    m_suspicions.RecordBreak(content, context.Now());
-    m_suspicion_changes.push_back(
-        {content, SuspicionLevel::kSuspect, check.upstream});
-    context.Record(
-        "crash_suspected", check.upstream.Text(),
-        {{"content", std::to_string(content)},
-         {"breaks", std::to_string(m_suspicions.CountBreaks(content))}});
-  }
+  m_crashes.SuspectContents(context, check);
 }
 
 void RequestDispatcher::OnUpstreamAnswered(Context& context,
                                            const UpstreamAnswered& event) {
-  DispatchRequest* request = FindByConnection(event.connection);
+  DispatchRequest* request = m_requests.FindByConnection(event.connection);
   if (request == nullptr || !request->active || !request->active->sent) {
     if (event.keep_alive) {
       context.Emit(CloseConnection{event.connection});
@@ -564,7 +452,7 @@
   }
   const ActiveSend send = *request->active;
   const bool rejected = event.not_executed || event.wrong_upstream;
-  const bool failed = event.answer.status >= kFirstServerError;
+  const bool failed = IsServerError(event.answer.status);
   EndSend(context, *request,
           rejected ? SendResult::kRejected
                    : (failed ? SendResult::kFailed : SendResult::kAnswered));
@@ -575,12 +463,19 @@
                           send.sent_at);
   const ServiceName service = request->service;
   if (event.keep_alive) {
-    KeepOrClose(context, service, send.upstream, event);
+    const TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
+    const bool usable = upstream != nullptr && !upstream->leaving &&
+                        !event.draining && !event.wrong_upstream;
+    m_connections.KeepOrClose(context, send.upstream, event,
+                              usable ? FindMaxIdle(service) : 0);
   }
   if (rejected) {
     OnRejected(context, *request, event);
   } else {
-    LearnFromAnswer(context, *request, send, event);
+    if (IsSuccess(event.answer.status)) {
+      m_crashes.OnSuccess(send.upstream, request->content_hash);
+      m_answers.OnSuccess(*request, send, event, context.Now());
+    }
     request->may_have_run = true;
     request->placement.excluded.push_back(send.upstream);
     const bool resent = failed && request->IsIdempotent() &&
@@ -592,29 +487,13 @@
   PlaceWaiting(context, service);
 }
 
-void RequestDispatcher::KeepOrClose(Context& context,
-                                    const ServiceName& service,
-                                    const UpstreamId& id,
-                                    const UpstreamAnswered& event) {
-  const TrackedUpstream* upstream = m_upstreams.Find(id);
-  const bool is_usable = upstream != nullptr && !upstream->leaving &&
-                         !event.draining && !event.wrong_upstream;
-  if (is_usable && MayKeepIdle(service, id)) {
-    m_idle.Add(id, event.connection, event.idle_limit, context.Now());
-  } else {
-    context.Emit(CloseConnection{event.connection});
-  }
-}
-
-bool RequestDispatcher::MayKeepIdle(const ServiceName& service,
-                                    const UpstreamId& upstream) const {
+double RequestDispatcher::FindMaxIdle(const ServiceName& service) const {
   const ServiceTraits* traits = m_routes->FindService(service);
   if (traits == nullptr) {
-    return true;
+    return std::numeric_limits<double>::infinity();
   }
-  const double share =
-      traits->max_connections * kMaxIdleShare / std::max(m_counts.in_total, 1);
-  return static_cast<double>(m_idle.Count(upstream)) + 1 <= share;
+  return traits->max_connections * kMaxIdleShare /
+         std::max(m_counts.in_total, 1);
 }
 
 void RequestDispatcher::OnRejected(Context& context,
@@ -635,52 +514,13 @@
   }
 }
 
-void RequestDispatcher::LearnFromAnswer(Context& context,
-                                        const DispatchRequest& request,
-                                        const ActiveSend& send,
-                                        const UpstreamAnswered& event) {
-  const MonotonicTime now = context.Now();
-  const ObjectHash object = request.placement.object;
-  TrackedUpstream* upstream = m_upstreams.Find(send.upstream);
-  if (!IsSuccess(event.answer.status)) {
-    return;
-  }
-  if (m_suspicions.RecordSuccess(request.content_hash)) {
-    m_suspicion_changes.push_back(
-        {request.content_hash, SuspicionLevel::kCleared, send.upstream});
-  }
-  if (upstream == nullptr) {
-    return;
-  }
-  const Duration spent =
-      now - send.sent_at - m_distances.RoundTrip(upstream->registration.zone);
-  const double ratio = event.load ? event.load->work_time_percent / 100.0 : 1;
-  const auto usual = Duration(static_cast<std::int64_t>(
-      static_cast<double>(spent.count()) / std::max(ratio, 0.1)));
-  if (!m_upstreams.IsCold(*upstream, now)) {
-    m_learner.RecordSuccess(request.placement, send.choice,
-                            upstream->registration.slots, usual);
-    const Duration expected =
-        m_times.Expect(request.service, send.choice.prediction);
-    m_upstreams.OnAnswerTime(
-        send.upstream,
-        static_cast<double>(usual.count()) /
-            static_cast<double>(std::max<std::int64_t>(expected.count(), 1)),
-        now);
-  }
-  if (object != 0) {
-    upstream->objects.Record(object);
-    m_shared_load.OnHandled(send.upstream, object);
-  }
-}
-
 bool RequestDispatcher::MayResend(const DispatchRequest& request,
                                   MonotonicTime now) const {
   const Duration work = m_times.Expect(request.service, CachePrediction::kHit);
   return request.sends < request.route->max_upstreams &&
          now + work <= request.deadline &&
          m_placement.HasCandidate(request.placement, now) &&
-         !m_suspicions.IsRejected(request.content_hash, now);
+         !m_crashes.IsRejected(request.content_hash, now);
 }
 
 bool RequestDispatcher::TryResend(Context& context, DispatchRequest& request) {
@@ -699,7 +539,7 @@
                                 SendResult result) {
   const ActiveSend send = std::move(*request.active);
   request.active.reset();
-  m_connections.erase(send.connection);
+  m_requests.Disconnect(send.connection);
   m_upstreams.OnEnded(send.upstream, result, context.Now());
   if (result == SendResult::kRejected) {
     request.placement.excluded.push_back(send.upstream);
@@ -708,7 +548,7 @@
 }
 
 void RequestDispatcher::OnCallerGone(Context& context, RequestId id) {
-  DispatchRequest* request = Find(id);
+  DispatchRequest* request = m_requests.Find(id);
   if (request == nullptr) {
     return;
   }
@@ -753,29 +593,22 @@
   const MonotonicTime now = context.Now();
   m_shared_load.OnTick(now);
   m_overflow.OnTick(now);
-  for (const ConnectionId connection : m_crash_checks.FindDue(now)) {
+  for (const ConnectionId connection : m_crashes.FindDue(now)) {
     context.Emit(CloseConnection{connection});
-    OnCrashed(context, *m_crash_checks.Take(connection));
+    OnCrashed(context, *m_crashes.Take(connection));
   }
-  std::vector<RequestId> ids;
-  ids.reserve(m_requests.size());
-  for (const auto& [id, request] : m_requests) {
-    ids.push_back(id);
-  }
-  for (const RequestId id : ids) {
-    if (DispatchRequest* request = Find(id)) {
+  for (const RequestId id : m_requests.List()) {
+    if (DispatchRequest* request = m_requests.Find(id)) {
       ExpireIfDue(context, *request);
     }
-    if (const DispatchRequest* request = Find(id)) {
-      CheckIfUnresponsive(context, *request);
+    if (const DispatchRequest* request = m_requests.Find(id)) {
+      m_crashes.CheckIfUnresponsive(context, *request);
     }
   }
   for (auto& [service, queue] : m_queues) {
     PlaceWaiting(context, service);
   }
-  for (const ConnectionId connection : m_idle.TakeExpired(now)) {
-    context.Emit(CloseConnection{connection});
-  }
+  m_connections.CloseExpired(context);
 }
 
 void RequestDispatcher::ExpireIfDue(Context& context,
@@ -786,7 +619,7 @@
       context.Emit(CloseConnection{request.active->connection});
       if (request.active->reused) {
         // The connection may have stalled, and others as old with it.
-        CloseIdle(context, request.active->upstream);
+        m_connections.CloseIdle(context, request.active->upstream);
       }
       request.may_have_run = true;
       EndSend(context, request, SendResult::kAbandoned);
@@ -831,7 +664,7 @@
   if (outcome == Outcome::kDidNotRun && retry_after > Duration::zero()) {
     answer_retry_after = retry_after;
   }
-  Finish(context, request, MakeAnswer(outcome, reason), answer_retry_after);
+  Finish(context, request, {outcome, reason, {}}, answer_retry_after);
 }
 
 void RequestDispatcher::Deliver(Context& context,
@@ -843,9 +676,9 @@
     Refuse(context, request, RefusalReason::kUpstreamFailed, Duration::zero());
     return;
   }
-  CallerAnswer result = MakeAnswer(Outcome::kRan, RefusalReason::kNone);
-  result.http = std::move(answer);
-  Finish(context, request, std::move(result), std::nullopt);
+  Finish(context, request,
+         {Outcome::kRan, RefusalReason::kNone, std::move(answer)},
+         std::nullopt);
 }
 
 void RequestDispatcher::Finish(Context& context,
@@ -859,21 +692,7 @@
   SetAwaited(request, std::nullopt);
   const RequestId id = request.id;
   context.Emit(AnswerCaller{id, std::move(answer), retry_after});
-  m_requests.erase(id);
-}
-
-std::vector<Suspicion> RequestDispatcher::TakeSuspicions() {
-  return std::exchange(m_suspicion_changes, {});
-}
-
-DispatchRequest* RequestDispatcher::Find(RequestId id) {
-  const auto found = m_requests.find(id);
-  return found == m_requests.end() ? nullptr : &found->second;
-}
-
-DispatchRequest* RequestDispatcher::FindByConnection(ConnectionId connection) {
-  const auto found = m_connections.find(connection);
-  return found == m_connections.end() ? nullptr : Find(found->second);
+  m_requests.Remove(id);
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -8,20 +8,18 @@
 #include <string>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
-#include "dispatch/crash_checks.h"
-#include "dispatch/crash_suspicions.h"
+#include "dispatch/answer_learner.h"
+#include "dispatch/crash_monitor.h"
 #include "dispatch/dispatch_request.h"
 #include "dispatch/hit_probability_estimator.h"
-#include "dispatch/idle_connections.h"
+#include "dispatch/pending_requests.h"
 #include "dispatch/placement.h"
 #include "dispatch/region_overflow.h"
 #include "dispatch/resend_budget.h"
 #include "dispatch/service_splitter.h"
-#include "dispatch/service_time_learner.h"
 #include "dispatch/service_times.h"
 #include "dispatch/shared_load.h"
+#include "dispatch/upstream_connections.h"
 #include "dispatch/upstream_rate_limiter.h"
 #include "dispatch/upstream_table.h"
 #include "dispatch/waiting_queue.h"
@@ -70,7 +68,9 @@
   void OnUpstreamGone(Context& context, const UpstreamId& id);
   void OnEvacuationChanged(const ZoneName& zone, bool evacuated);
   /** Handles a report of another instance on a content hash. */
-  void OnSuspicion(Context& context, const Suspicion& suspicion);
+  void OnSuspicion(Context& context, const Suspicion& suspicion) {
+    m_crashes.OnSuspicion(context, suspicion);
+  }
 
   /** Handles a load digest of another instance. */
   void OnLoadDigest(Context& context,
@@ -111,9 +111,9 @@
 
   /** Returns the changes of suspicions since the last call, to be sent to the
    * other instances. */
-  std::vector<Suspicion> TakeSuspicions();
+  std::vector<Suspicion> TakeSuspicions() { return m_crashes.TakeChanges(); }
 
-  std::size_t PendingCount() const { return m_requests.size(); }
+  std::size_t PendingCount() const { return m_requests.Count(); }
 
  private:
   // Admission.
@@ -150,42 +150,20 @@
   double FindColdRate(const ServiceName& service) const;
 
   // Results.
-  void CloseIdle(Context& context, const UpstreamId& upstream);
-  /** Keeps the connection of an answer for another request if it may be used
-   * again, otherwise closes it. */
-  void KeepOrClose(Context& context,
-                   const ServiceName& service,
-                   const UpstreamId& upstream,
-                   const UpstreamAnswered& event);
-  /** Returns whether this instance's share of the connections that an upstream
-   * accepts allows another idle one. */
-  bool MayKeepIdle(const ServiceName& service,
-                   const UpstreamId& upstream) const;
+  /** Returns this instance's share of the connections that an upstream of the
+   * service accepts and that may be idle; infinite if it isn't known. */
+  double FindMaxIdle(const ServiceName& service) const;
   void EndSend(Context& context, DispatchRequest& request, SendResult result);
   void OnOpenFailed(Context& context, DispatchRequest& request);
   void OnBroken(Context& context, DispatchRequest& request);
   void OnRejected(Context& context,
                   DispatchRequest& request,
                   const UpstreamAnswered& event);
-  void LearnFromAnswer(Context& context,
-                       const DispatchRequest& request,
-                       const ActiveSend& send,
-                       const UpstreamAnswered& event);
   /** Queues the request again if the limits allow another send. */
   bool TryResend(Context& context, DispatchRequest& request);
   bool MayResend(const DispatchRequest& request, MonotonicTime now) const;
 
   // Crashes.
-  void CheckForCrash(Context& context,
-                     const UpstreamId& upstream,
-                     std::uint64_t content_hash);
-  /** Starts a check of an upstream that has been unresponsive for too long
-   * since a request was sent to it. */
-  void CheckIfUnresponsive(Context& context, const DispatchRequest& request);
-  void StartCheck(Context& context,
-                  const UpstreamId& upstream,
-                  Duration timeout,
-                  std::vector<std::uint64_t> contents);
   void OnCrashed(Context& context, const CrashCheck& check);
   /** Resends the idempotent requests in flight at a crashed upstream to others,
    * as far as the limits allow. */
@@ -205,10 +183,6 @@
               CallerAnswer answer,
               std::optional<Duration> retry_after);
 
-  DispatchRequest* Find(RequestId id);
-  DispatchRequest* FindByConnection(ConnectionId connection);
-  ConnectionId NextConnection() { return ConnectionId{++m_last_connection}; }
-
   RegionName m_region;
   std::shared_ptr<const RouteTable> m_routes;
   InstanceCounts m_counts;
@@ -216,22 +190,18 @@
   UpstreamTable m_upstreams;
   ServiceTimes m_times;
   HitProbabilityEstimator m_hit_probabilities;
-  ServiceTimeLearner m_learner;
   ZoneDistances m_distances;
   Placement m_placement;
-  IdleConnections m_idle;
+  UpstreamConnections m_connections;
   RegionOverflow m_overflow;
   SharedLoad m_shared_load;
+  AnswerLearner m_answers;
   UpstreamRateLimiter m_rate_limiter;
   ResendBudget m_resends;
   ServiceSplitter m_splitter;
-  CrashSuspicions m_suspicions;
-  std::vector<Suspicion> m_suspicion_changes;
-  std::map<RequestId, DispatchRequest> m_requests;
+  CrashMonitor m_crashes;
+  PendingRequests m_requests;
   std::map<ServiceName, WaitingQueue> m_queues;
-  absl::flat_hash_map<ConnectionId, RequestId> m_connections;
-  CrashChecks m_crash_checks;
-  std::uint64_t m_last_connection = 0;
 };
 
 }  // namespace kumquatcove
