--- a/src/claims/claim_record.cc
+++ b/src/claims/claim_record.cc
@@ -61,6 +61,11 @@
   return phase != ClaimPhase::kReleasing && phase != ClaimPhase::kAbandoned;
 }
 
+bool ClaimRecord::HasRecordedAnswer() const {
+  return (phase == ClaimPhase::kRecording || phase == ClaimPhase::kSettled) &&
+         answer.outcome == Outcome::kRan;
+}
+
 StoreTransaction ClaimRecord::MakeWrite(const Identity& self,
                                         const ClaimKey& key) const {
   const std::string row_key = ClaimRowKey(key);
@@ -75,9 +80,7 @@
                  created,
                  std::nullopt,
                  std::nullopt};
-    const bool ended =
-        phase == ClaimPhase::kRecording || phase == ClaimPhase::kSettled;
-    if (ended && answer.outcome == Outcome::kRan) {
+    if (HasRecordedAnswer()) {
       row.state = ClaimRowState::kDone;
       row.answer = answer;
     } else if (releasing) {
--- a/src/claims/claim_record.h
+++ b/src/claims/claim_record.h
@@ -147,6 +147,21 @@
    * older one. Returns false if the claim is to be forgotten. */
   bool BeginEra();
 
+  /** Returns whether the row is to be checked after a restore of the store. A
+   * claim that isn't granted yet is checked by its own steps. */
+  bool IsRestoring() const {
+    return restoring && phase != ClaimPhase::kClaiming &&
+           phase != ClaimPhase::kReleasing;
+  }
+  /** Returns whether a restored row lacks what was written to it. */
+  bool IsRowOutdated(RowFinding finding) const {
+    return finding == RowFinding::kAbsent ||
+           (finding == RowFinding::kOwn && HasRecordedAnswer());
+  }
+
+  /** Returns whether `answer` belongs into the row. */
+  bool HasRecordedAnswer() const;
+
   /** Returns the write for the current phase, conditional on `version`. */
   StoreTransaction MakeWrite(const Identity& self, const ClaimKey& key) const;
 
--- a/src/claims/claim_sweeper.cc
+++ b/src/claims/claim_sweeper.cc
@@ -146,7 +146,7 @@
   return m_state == State::kWrite ? ClaimStep::kWrite : ClaimStep::kRead;
 }
 
-StoreOperation ClaimSweeper::TakeCall() {
+StoreOperation ClaimSweeper::TakeCall(Context& /*context*/) {
   assert(NextStep() != ClaimStep::kNone);
   m_in_flight = true;
   return std::move(m_call);
--- a/src/claims/claim_sweeper.h
+++ b/src/claims/claim_sweeper.h
@@ -68,7 +68,7 @@
 
   /** Returns the next call. Precondition: NextStep isn't kNone. The reply must
    * be passed to OnReply. */
-  StoreOperation TakeCall();
+  StoreOperation TakeCall(Context& context);
   void OnReply(Context& context, const StoreReply& reply);
 
  private:
--- a/src/claims/claim_sweeper_test.cc
+++ b/src/claims/claim_sweeper_test.cc
@@ -44,7 +44,8 @@
                         WallTime{kStart + m_elapsed + jump}});
       m_sweeper.OnTick(m_context);
       while (m_sweeper.NextStep() != ClaimStep::kNone) {
-        m_sweeper.OnReply(m_context, m_store.Run(m_sweeper.TakeCall()));
+        m_sweeper.OnReply(m_context,
+                          m_store.Run(m_sweeper.TakeCall(m_context)));
       }
       m_elapsed += kHour / 60;
     } while (m_elapsed <= end);
--- a/src/claims/claim_table.cc
+++ b/src/claims/claim_table.cc
@@ -165,12 +165,12 @@
     m_timers.erase(m_timers.begin());
     Recheck(context, key);
   }
-  m_sweeper.OnTick(context);
+  m_sweeper->OnTick(context);
   Flush(context);
 }
 
 void ClaimTable::OnStoreEra(Context& context, std::int64_t era) {
-  if (m_restores.OnReplyEra(context, era)) {
+  if (m_restores->OnReplyEra(context, era)) {
     BeginEra(context);
     Flush(context);
   }
@@ -179,23 +179,14 @@
 void ClaimTable::OnStoreReply(Context& context,
                               StoreRequestId id,
                               const StoreReply& received) {
-  if (m_restores.OnReplyEra(context, received.era)) {
-    BeginEra(context);
-  }
+  OnStoreEra(context, received.era);
   // What the store did before it was restored may be lost.
   static const StoreReply kUnknownReply;
-  const bool outdated = received.era != 0 && received.era < m_restores.Era();
+  const bool outdated = received.era != 0 && received.era < m_restores->Era();
   const StoreReply& reply = outdated ? kUnknownReply : received;
   const ClaimCall call = m_pacer.OnReply(id, reply.status, context.Now());
-  if (m_restores_call == id) {
-    m_restores_call.reset();
-    m_restores.OnReply(context, reply);
-    Flush(context);
-    return;
-  }
-  if (m_sweeper_call == id) {
-    m_sweeper_call.reset();
-    m_sweeper.OnReply(context, reply);
+  if (m_restores.OnReply(context, id, reply) ||
+      m_sweeper.OnReply(context, id, reply)) {
     Flush(context);
     return;
   }
@@ -229,7 +220,7 @@
   ClaimRecord& claim = found->second;
   ClaimRow decoded;
   const RowFinding finding =
-      claim.Classify(context.Self(), row, m_restores.Era(), decoded);
+      claim.Classify(context.Self(), row, m_restores->Era(), decoded);
   const bool retry = claim.failed_writes <= kMaxFailedWrites;
   if (RestoreRow(key, claim, finding, row.version)) {
     return;
@@ -332,11 +323,11 @@
     return;
   }
   if (MayHaveLostRow(context, key, claim)) {
-    if (!m_restores.IsKnown()) {
+    if (!m_restores->IsKnown()) {
       m_queue.Push(key, claim, ClaimStep::kRead);
       return;
     }
-    RecordLostRow(context, key);
+    m_restores->RecordLostClaim(context, key);
     AnswerWaiters(claim, ClaimVerdict::Unavailable());
     // The row stays, so that no resend is granted.
     claim.answer = {Outcome::kUnknown, RefusalReason::kStoreUnavailable, {}};
@@ -362,28 +353,21 @@
                                 const ClaimKey& key,
                                 const ClaimRecord& claim) const {
   return claim.sent_before && !claim.confirmed &&
-         m_restores.MayLackClaims(context,
-                                  FindClaimRetention(context, key.service));
+         m_restores->MayLackClaims(context, key.service);
 }
 
 void ClaimTable::AwaitLostRow(Context& context,
                               const ClaimKey& key,
                               ClaimRecord& claim) {
-  if (!m_restores.IsKnown() || m_restores.AreClaimsReturning(context.Now())) {
+  if (!m_restores->IsKnown() || m_restores->AreClaimsReturning(context.Now())) {
     ScheduleRecheck(key, claim, context.Now() + kLostRowRecheckDelay);
     return;
   }
-  RecordLostRow(context, key);
+  m_restores->RecordLostClaim(context, key);
   AnswerWaiters(claim, ClaimVerdict::Unavailable());
   Abandon(context, key, claim);
 }
 
-void ClaimTable::RecordLostRow(Context& context, const ClaimKey& key) const {
-  context.Record("claim_may_be_lost", key.idempotency_key,
-                 {{"service", key.service.Text()},
-                  {"era", std::to_string(m_restores.Era())}});
-}
-
 void ClaimTable::Abandon(Context& context,
                          const ClaimKey& key,
                          ClaimRecord& claim) {
@@ -394,9 +378,8 @@
   claim.phase = ClaimPhase::kReleasing;
   claim.failed_writes = 0;
   claim.release_era =
-      claim.confirmed && m_restores.MayLackClaims(
-                             context, FindClaimRetention(context, key.service))
-          ? m_restores.Era()
+      claim.confirmed && m_restores->MayLackClaims(context, key.service)
+          ? m_restores->Era()
           : 0;
   if (clean || claim.nonce_lost) {
     RemoveClaim(context, key, claim);
@@ -550,46 +533,23 @@
                             ClaimRecord& claim,
                             RowFinding finding,
                             std::int64_t version) {
-  if (!claim.restoring || claim.phase == ClaimPhase::kClaiming ||
-      claim.phase == ClaimPhase::kReleasing) {
+  if (!claim.IsRestoring()) {
     return false;
   }
-  const bool ran = (claim.phase == ClaimPhase::kRecording ||
-                    claim.phase == ClaimPhase::kSettled) &&
-                   claim.answer.outcome == Outcome::kRan;
-  if (finding == RowFinding::kAbsent || (finding == RowFinding::kOwn && ran)) {
+  claim.restoring = claim.IsRowOutdated(finding);
+  if (claim.restoring) {
     claim.version = version;
     m_queue.Push(key, claim, ClaimStep::kWrite);
-    return true;
   }
-  claim.restoring = false;
-  return false;
+  return claim.restoring;
 }
 
 void ClaimTable::Flush(Context& context) {
   m_pacer.ProbeWhenDue(context);
-  FlushRestoreRecord(context);
+  m_restores.Flush(context, m_pacer);
   FlushWrites(context);
   FlushReads(context);
-  FlushSweeper(context);
-}
-
-void ClaimTable::FlushSweeper(Context& context) {
-  const ClaimStep step = m_sweeper.NextStep();
-  if (step == ClaimStep::kWrite && m_pacer.CanWrite(context.Now())) {
-    m_sweeper_call = m_pacer.Write(context, m_sweeper.TakeCall());
-  } else if (step == ClaimStep::kRead && m_pacer.CanRead()) {
-    m_sweeper_call = m_pacer.Read(context, m_sweeper.TakeCall());
-  }
-}
-
-void ClaimTable::FlushRestoreRecord(Context& context) {
-  const ClaimStep step = m_restores.NextStep();
-  if (step == ClaimStep::kWrite && m_pacer.CanWrite(context.Now())) {
-    m_restores_call = m_pacer.Write(context, m_restores.TakeCall(context));
-  } else if (step == ClaimStep::kRead && m_pacer.CanRead()) {
-    m_restores_call = m_pacer.Read(context, m_restores.TakeCall(context));
-  }
+  m_sweeper.Flush(context, m_pacer);
 }
 
 void ClaimTable::FlushWrites(Context& context) {
@@ -605,7 +565,7 @@
   }
   if (!batch.claimed.empty()) {
     batch.write.transactions.push_back(
-        m_sweeper.MakeLogTransaction(context, std::move(batch.claimed)));
+        m_sweeper->MakeLogTransaction(context, std::move(batch.claimed)));
   }
   m_sent_writes = std::move(batch.sent);
   m_pacer.Write(context, std::move(batch.write));
--- a/src/claims/claim_table.h
+++ b/src/claims/claim_table.h
@@ -14,6 +14,7 @@
 #include "claims/claim_row.h"
 #include "claims/claim_sweeper.h"
 #include "claims/claim_verdict.h"
+#include "claims/paced_caller.h"
 #include "claims/restore_record.h"
 #include "claims/store_pacer.h"
 #include "protocol/context.h"
@@ -158,7 +159,6 @@
   /** Reads such a row again while other instances may write it, then answers
    * the requests. */
   void AwaitLostRow(Context& context, const ClaimKey& key, ClaimRecord& claim);
-  void RecordLostRow(Context& context, const ClaimKey& key) const;
   void Abandon(Context& context, const ClaimKey& key, ClaimRecord& claim);
   void RemoveClaim(Context& context, const ClaimKey& key, ClaimRecord& claim);
   void Settle(Context& context, const ClaimKey& key, ClaimRecord& claim);
@@ -176,8 +176,6 @@
   void Flush(Context& context);
   void FlushWrites(Context& context);
   void FlushReads(Context& context);
-  void FlushSweeper(Context& context);
-  void FlushRestoreRecord(Context& context);
   /** Begins a new era of the store. */
   void BeginEra(Context& context);
   /** Writes the row of a claim again that a restored store lacks, or holds as
@@ -203,10 +201,8 @@
   std::vector<SentClaimWrite> m_sent_writes;
   std::vector<ClaimKey> m_sent_reads;
   StorePacer m_pacer;
-  ClaimSweeper m_sweeper;
-  std::optional<StoreRequestId> m_sweeper_call;
-  RestoreRecord m_restores;
-  std::optional<StoreRequestId> m_restores_call;
+  PacedCaller<ClaimSweeper> m_sweeper;
+  PacedCaller<RestoreRecord> m_restores;
   std::vector<ClaimVerdict> m_verdicts;
 };
 
--- a/src/claims/restore_record.cc
+++ b/src/claims/restore_record.cc
@@ -8,6 +8,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "base/json_codec.h"
+#include "claims/claim_sweeper.h"
 
 namespace kumquatcove {
 namespace {
@@ -47,7 +48,7 @@
 }
 
 bool RestoreRecord::MayLackClaims(const Context& context,
-                                  Duration claim_retention) const {
+                                  const ServiceName& service) const {
   switch (m_state) {
     case State::kNoEra:
       return false;
@@ -55,13 +56,20 @@
     case State::kWrite:
       return true;
     case State::kKnown:
-      return m_restored &&
-             context.Wall().microseconds <
-                 m_restored->microseconds + claim_retention.count();
+      return m_restored && context.Wall().microseconds <
+                               m_restored->microseconds +
+                                   FindClaimRetention(context, service).count();
   }
   return true;
 }
 
+void RestoreRecord::RecordLostClaim(Context& context,
+                                    const ClaimKey& key) const {
+  context.Record(
+      "claim_may_be_lost", key.idempotency_key,
+      {{"service", key.service.Text()}, {"era", std::to_string(m_era)}});
+}
+
 bool RestoreRecord::AreClaimsReturning(MonotonicTime now) const {
   return now < m_era_seen + kClaimReturnTime;
 }
--- a/src/claims/restore_record.h
+++ b/src/claims/restore_record.h
@@ -7,6 +7,7 @@
 #include <boost/describe/class.hpp>
 
 #include "base/clock_reading.h"
+#include "base/name.h"
 #include "claims/claim_record.h"
 #include "protocol/context.h"
 #include "protocol/store_operation.h"
@@ -49,9 +50,13 @@
     return m_state == State::kKnown || m_state == State::kNoEra;
   }
 
-  /** Returns whether the store may have lost claims that still count, at the
-   * wall time of `context`. True if it isn't known when the era began. */
-  bool MayLackClaims(const Context& context, Duration claim_retention) const;
+  /** Returns whether the store may have lost claims of a service that still
+   * count, at the wall time of `context`. True if it isn't known when the era
+   * began. */
+  bool MayLackClaims(const Context& context, const ServiceName& service) const;
+
+  /** Records a request that isn't sent because its claim may be lost. */
+  void RecordLostClaim(Context& context, const ClaimKey& key) const;
 
   /** Returns whether other instances may still be writing claims again that a
    * restore has lost. */
