--- a/src/dispatch/upstream_rate_limiter.cc
+++ b/src/dispatch/upstream_rate_limiter.cc
@@ -143,28 +143,29 @@
       continue;
     }
     OnPeerLimits(context, sender, {{granted.upstream_hash, granted.limit}});
-    Ask& ask = m_asks[upstream->registration.id];
-    if (ask.issuer == sender) {
-      ask.unanswered_since.reset();
+    Demand& demand = m_demands[upstream->registration.id];
+    if (demand.issuer == sender) {
+      demand.unanswered_since.reset();
     }
     if (!granted.issuer.IsEmpty()) {
-      ask.last_sent.reset();
+      demand.last_sent.reset();
       if (granted.issuer == context.Self().instance) {
         // The sender knows no issuer in its region.
         m_silent[sender] = now + kSilentTime;
-      } else if (ask.redirected_to == sender && now < ask.redirected_until) {
+      } else if (demand.redirected_to == sender &&
+                 now < demand.redirected_until) {
         // Two instances that name each other don't agree yet on the issuer.
-        LoseIssuer(context, *upstream, ask);
+        LoseIssuer(context, *upstream, demand);
       } else {
-        ask.redirected_to = granted.issuer;
-        ask.redirected_until = now + kRedirectTime;
+        demand.redirected_to = granted.issuer;
+        demand.redirected_until = now + kRedirectTime;
       }
       continue;
     }
     upstream->permits.SetIssuerFound();
     const int count = std::clamp(granted.count, 0, PermitIssuer::kMaxWanted);
     upstream->permits.SetForecast(std::max(Duration::zero(), granted.wait),
-                                  std::max(0, ask.wanted - count), now);
+                                  std::max(0, demand.wanted - count), now);
     if (count > 0) {
       upstream->permits.Add(count, now);
       m_granted.insert(upstream->registration.id);
@@ -192,7 +193,7 @@
         (!upstream->rate_limit.Rate() &&
          context.Now() - upstream->limit_answered >= kEndReportTime);
     if (ended) {
-      m_asks.erase(*id);
+      m_demands.erase(*id);
       id = m_limited.erase(id);
       continue;
     }
@@ -214,7 +215,7 @@
     TrackedUpstream& upstream,
     std::map<InstanceId, PermitRequest>& requests) {
   const MonotonicTime now = context.Now();
-  Ask& ask = m_asks[upstream.registration.id];
+  Demand& demand = m_demands[upstream.registration.id];
   // Permits that can't be used at once would expire.
   const double free_slots =
       upstream.registration.slots * (1 + Placement::kMaxWaitingShare) -
@@ -222,30 +223,30 @@
   const int usable = std::max(0, static_cast<int>(std::ceil(free_slots)));
   const int wanted = std::max(
       0, std::min(upstream.awaited, usable) - upstream.permits.CountValid(now));
-  if ((wanted == 0 && ask.wanted == 0) || now < ask.paused_until) {
+  if ((wanted == 0 && demand.wanted == 0) || now < demand.paused_until) {
     return;
   }
   const Duration elapsed =
-      ask.last_sent ? now - *ask.last_sent : Duration::max();
-  const bool overdue =
-      ask.unanswered_since && now - *ask.unanswered_since >= kReplyTimeout;
+      demand.last_sent ? now - *demand.last_sent : Duration::max();
+  const bool overdue = demand.unanswered_since &&
+                       now - *demand.unanswered_since >= kReplyTimeout;
   const bool due = overdue || elapsed >= kDemandRefresh ||
-                   (wanted != ask.wanted && elapsed >= kMinRequestInterval);
+                   (wanted != demand.wanted && elapsed >= kMinRequestInterval);
   if (!due) {
     return;
   }
   const std::optional<InstanceId> issuer =
-      FindIssuer(context, presence, upstream, ask);
+      FindIssuer(context, presence, upstream, demand);
   if (!issuer) {
-    LoseIssuer(context, upstream, ask);
+    LoseIssuer(context, upstream, demand);
     return;
   }
-  if (ask.issuer != *issuer) {
-    ask.issuer = *issuer;
-    ask.unanswered_since.reset();
+  if (demand.issuer != *issuer) {
+    demand.issuer = *issuer;
+    demand.unanswered_since.reset();
   }
-  ask.wanted = wanted;
-  ask.last_sent = now;
+  demand.wanted = wanted;
+  demand.last_sent = now;
   const std::uint64_t hash = StableHash(upstream.registration.id.Text());
   if (*issuer == context.Self().instance) {
     upstream.permits.SetIssuerFound();
@@ -255,8 +256,8 @@
         now);
     return;
   }
-  if (!ask.unanswered_since) {
-    ask.unanswered_since = now;
+  if (!demand.unanswered_since) {
+    demand.unanswered_since = now;
   }
   requests[*issuer].demands.push_back({hash, wanted,
                                        upstream.permits.Received(),
@@ -267,21 +268,23 @@
     Context& context,
     const EntryPresence& presence,
     const TrackedUpstream& upstream,
-    Ask& ask) {
+    Demand& demand) {
   const MonotonicTime now = context.Now();
-  if (ask.unanswered_since && now - *ask.unanswered_since >= kReplyTimeout) {
-    context.Record("permit_issuer_silent", ask.issuer.Text(),
+  if (demand.unanswered_since &&
+      now - *demand.unanswered_since >= kReplyTimeout) {
+    context.Record("permit_issuer_silent", demand.issuer.Text(),
                    {{"upstream", upstream.registration.id.Text()}});
-    m_silent[ask.issuer] = now + kSilentTime;
-    ask.unanswered_since.reset();
-    ask.redirected_to = InstanceId();
+    m_silent[demand.issuer] = now + kSilentTime;
+    demand.unanswered_since.reset();
+    demand.redirected_to = InstanceId();
   }
   const std::set<InstanceId> silent = ListSilent(now);
-  if (!ask.redirected_to.IsEmpty() && now < ask.redirected_until) {
-    const bool reachable = ask.redirected_to != context.Self().instance &&
-                           !silent.contains(ask.redirected_to) &&
-                           presence.FindAddress(ask.redirected_to).has_value();
-    return reachable ? std::optional(ask.redirected_to) : std::nullopt;
+  if (!demand.redirected_to.IsEmpty() && now < demand.redirected_until) {
+    const bool reachable =
+        demand.redirected_to != context.Self().instance &&
+        !silent.contains(demand.redirected_to) &&
+        presence.FindAddress(demand.redirected_to).has_value();
+    return reachable ? std::optional(demand.redirected_to) : std::nullopt;
   }
   const std::uint64_t hash = StableHash(upstream.registration.id.Text());
   std::optional<InstanceAddress> coordinator =
@@ -344,13 +347,13 @@
 
 void UpstreamRateLimiter::LoseIssuer(Context& context,
                                      TrackedUpstream& upstream,
-                                     Ask& ask) {
+                                     Demand& demand) {
   context.Record("permit_issuer_lost", upstream.registration.id.Text(),
-                 {{"last", ask.issuer.Text()}});
+                 {{"last", demand.issuer.Text()}});
   const MonotonicTime until = context.Now() + kRetryDelay;
   upstream.permits.SetIssuerLost(until);
-  ask = Ask{};
-  ask.paused_until = until;
+  demand = Demand{};
+  demand.paused_until = until;
 }
 
 void UpstreamRateLimiter::IssuePermits(Context& context,
@@ -395,8 +398,9 @@
   const Duration wait =
       m_issuer.EstimateWait(upstream_hash, FindIssuedRate(context, *upstream));
   if (instance == context.Self().instance) {
-    Ask& ask = m_asks[upstream->registration.id];
-    upstream->permits.SetForecast(wait, std::max(0, ask.wanted - count), now);
+    Demand& demand = m_demands[upstream->registration.id];
+    upstream->permits.SetForecast(wait, std::max(0, demand.wanted - count),
+                                  now);
     upstream->permits.Add(count, now);
     m_granted.insert(upstream->registration.id);
     return;
--- a/src/dispatch/upstream_rate_limiter.h
+++ b/src/dispatch/upstream_rate_limiter.h
@@ -94,7 +94,7 @@
 
  private:
   /** This instance's demand for the permits of one upstream. */
-  struct Ask {
+  struct Demand {
     /** Instance that the last request was sent to; this one if it issues. */
     InstanceId issuer;
     int wanted = 0;
@@ -121,8 +121,8 @@
   std::optional<InstanceId> FindIssuer(Context& context,
                                        const EntryPresence& presence,
                                        const TrackedUpstream& upstream,
-                                       Ask& ask);
-  void LoseIssuer(Context& context, TrackedUpstream& upstream, Ask& ask);
+                                       Demand& demand);
+  void LoseIssuer(Context& context, TrackedUpstream& upstream, Demand& demand);
   void IssuePermits(Context& context, const EntryPresence& presence);
   void AddGrant(Context& context,
                 const EntryPresence& presence,
@@ -154,7 +154,7 @@
   PermitIssuer m_issuer;
   /** Upstreams with a limit, or whose limit has ended recently. */
   std::set<UpstreamId> m_limited;
-  std::map<UpstreamId, Ask> m_asks;
+  std::map<UpstreamId, Demand> m_demands;
   /** Instances that didn't answer a permit request, until these times. */
   std::map<InstanceId, MonotonicTime> m_silent;
   /** Demands that are to be answered even without permits. */
