Soak: count the times at which the machine stands still as disturbances

In the kept logs all six instances report pause_detected at the same moment, 23:05:05.9 to 06.0, for 2.5 s, and once more for 1.6 s, though the soak had frozen none: every process of the machine stood still. The two requests were in flight then. A freeze of an instance excuses what it cuts, but the soak knew only its own.

It now takes a delay of its own thread of half a second or more for such a pause, and reports it (soak_paused).

--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -62,6 +62,11 @@
 // restore of the store.
 constexpr std::uint64_t kMaxRewriteMs = 500;
 
+// Interval at which the soak checks whether it runs, and the delay from which
+// on it counts as paused.
+constexpr Duration kPauseCheckInterval = Milliseconds(50);
+constexpr Duration kMinPause = Milliseconds(500);
+
 // Requests a second that a limited upstream accepts, a fifth of what each gets
 // otherwise.
 constexpr double kRateLimit = 1;
@@ -177,6 +182,7 @@
     m_callers = std::make_unique<CallerStandIn>(
         m_io, m_ledger, std::move(callers), m_settings.seed + 1);
     m_callers->Start();
+    WatchForPauses(emulator::ReadMonotonicClock());
   });
 }
 
@@ -319,6 +325,15 @@
       [&] { m_ledger.OnDisturbance(begin, emulator::ReadMonotonicClock()); });
 }
 
+void SoakRun::WatchForPauses(MonotonicTime last) {
+  const MonotonicTime now = emulator::ReadMonotonicClock();
+  if (now - last >= kMinPause) {
+    LogWarning(LogLine("soak_paused").Add("duration_us", (now - last).count()));
+    m_ledger.OnDisturbance(last, now);
+  }
+  m_io.PostAfter(kPauseCheckInterval, [this, now] { WatchForPauses(now); });
+}
+
 std::vector<SoakFault> SoakRun::DrawFaults() {
   std::vector<SoakFault> faults(1 + m_random.NextBelow(kMaxOverlap));
   for (SoakFault& fault : faults) {
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -202,6 +202,10 @@
   /** Waits for the end of an instance that was told to end. */
   void CheckEnd(const std::string& name);
   void NoteDisturbance(const std::function<void()>& fault);
+  /** Counts the times at which this process doesn't run, as when the whole
+   * machine is suspended, as disturbances. `last` is the time of the previous
+   * call. */
+  void WatchForPauses(MonotonicTime last);
   /** Reports instances that have ended by themselves. */
   void CheckProcesses();
 
