--- a/src/dispatch/request_log.cc
+++ b/src/dispatch/request_log.cc
@@ -61,6 +61,9 @@
       fields.push_back({"rate_limit", FormatRate(send.choice.rate_limit)});
     }
   }
+  if (request.awaited) {
+    fields.push_back({"awaited", request.awaited->Text()});
+  }
   if (request.considered) {
     const PlacementChoice& choice = *request.considered;
     fields.push_back({"best", choice.upstream.Text()});
