Spare look-ups of upstreams by name when a request is placed

Each placement looked up all upstreams of the service by name in a map, and copied their names to rank them. The table now keeps pointers by service, and the ranking refers to its candidates.

--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -136,12 +136,13 @@
   // Cold and failing upstreams retain their assigned objects, which must not
   // move because of a temporary state.
   std::vector<const TrackedUpstream*> eligible;
-  for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
-    const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    if (m_upstreams.IsEligible(upstream) && IsInHomeRegion(upstream, request)) {
-      eligible.push_back(&upstream);
+  for (const TrackedUpstream* upstream :
+       m_upstreams.OfService(request.service)) {
+    if (m_upstreams.IsEligible(*upstream) &&
+        IsInHomeRegion(*upstream, request)) {
+      eligible.push_back(upstream);
     }
-    if (upstream.region == m_region && IsAllowed(upstream, request, now)) {
+    if (upstream->region == m_region && IsAllowed(*upstream, request, now)) {
       plan.region = m_region;
     }
   }
@@ -288,12 +289,11 @@
     double slots = 0;
   };
   std::map<RegionName, Sums> sums;
-  for (const UpstreamId& id : m_upstreams.OfService(service)) {
-    const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    Sums& region = sums[upstream.region];
-    if (m_upstreams.IsOpen(upstream, now)) {
-      region.requests += UpstreamTable::EstimateOccupancy(upstream, now);
-      region.slots += upstream.registration.slots;
+  for (const TrackedUpstream* upstream : m_upstreams.OfService(service)) {
+    Sums& region = sums[upstream->region];
+    if (m_upstreams.IsOpen(*upstream, now)) {
+      region.requests += UpstreamTable::EstimateOccupancy(*upstream, now);
+      region.slots += upstream->registration.slots;
     }
   }
   std::map<RegionName, double> loads;
@@ -312,16 +312,18 @@
       EstimateLoads(request.service, now);
   std::optional<Candidate> best;
   std::optional<Candidate> best_planned;
-  for (const UpstreamId& id : m_upstreams.OfService(request.service)) {
-    const TrackedUpstream& upstream = *m_upstreams.Find(id);
-    const auto position = std::find(plan.affinity_upstreams.begin(),
-                                    plan.affinity_upstreams.end(), id);
-    const bool has_affinity = request.object == 0 ||
-                              position != plan.affinity_upstreams.end() ||
-                              LikelyHasObjectCached(upstream, request);
+  for (const TrackedUpstream* tracked :
+       m_upstreams.OfService(request.service)) {
+    const TrackedUpstream& upstream = *tracked;
+    const auto position =
+        std::find(plan.affinity_upstreams.begin(),
+                  plan.affinity_upstreams.end(), upstream.registration.id);
     if (!IsAllowed(upstream, request, now)) {
       continue;
     }
+    const bool has_affinity = request.object == 0 ||
+                              position != plan.affinity_upstreams.end() ||
+                              LikelyHasObjectCached(upstream, request);
     const bool has_room = HasRoom(upstream, request, has_affinity, now);
     // The rate of an upstream that states a limit is best used up by any
     // request, while its slots are free.
@@ -375,10 +377,12 @@
 
 bool Placement::HasCandidate(const PlacementRequest& request,
                              MonotonicTime now) const {
-  const std::vector<UpstreamId>& ids = m_upstreams.OfService(request.service);
-  return std::any_of(ids.begin(), ids.end(), [&](const UpstreamId& id) {
-    return IsAllowed(*m_upstreams.Find(id), request, now);
-  });
+  const std::vector<const TrackedUpstream*>& upstreams =
+      m_upstreams.OfService(request.service);
+  return std::any_of(upstreams.begin(), upstreams.end(),
+                     [&](const TrackedUpstream* upstream) {
+                       return IsAllowed(*upstream, request, now);
+                     });
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/recent_objects.cc
+++ b/src/dispatch/recent_objects.cc
@@ -4,7 +4,7 @@
 #include <cassert>
 #include <cmath>
 #include <iterator>
-#include <utility>
+#include <tuple>
 
 #include "base/hash.h"
 
@@ -47,7 +47,11 @@
     ObjectHash object,
     const std::vector<AffinityCandidate>& candidates,
     std::size_t count) {
-  std::vector<std::pair<double, UpstreamId>> ranked;
+  struct Ranked {
+    double score = 0;
+    const AffinityCandidate* candidate = nullptr;
+  };
+  std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (const AffinityCandidate& candidate : candidates) {
     if (candidate.weight <= 0) {
@@ -58,15 +62,18 @@
         (static_cast<double>(StableHash(candidate.id.Text(), object) >> 11U) +
          0.5) *
         0x1p-53;
-    ranked.emplace_back(-std::log(uniform) / candidate.weight, candidate.id);
+    ranked.push_back({-std::log(uniform) / candidate.weight, &candidate});
   }
   count = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end());
+                    ranked.end(), [](const Ranked& left, const Ranked& right) {
+                      return std::tie(left.score, left.candidate->id) <
+                             std::tie(right.score, right.candidate->id);
+                    });
   std::vector<UpstreamId> chosen;
   for (std::size_t i = 0; i < count; ++i) {
-    chosen.push_back(std::move(ranked[i].second));
+    chosen.push_back(ranked[i].candidate->id);
   }
   return chosen;
 }
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -62,10 +62,15 @@
   upstream.removed = false;
   upstream.cold_until = now + registration.cold_left;
   m_by_hash[StableHash(registration.id.Text())] = registration.id;
-  std::vector<UpstreamId>& ids = m_services[registration.service];
-  const auto place = std::lower_bound(ids.begin(), ids.end(), registration.id);
-  if (place == ids.end() || *place != registration.id) {
-    ids.insert(place, registration.id);
+  std::vector<const TrackedUpstream*>& upstreams =
+      m_services[registration.service];
+  const auto place = std::lower_bound(
+      upstreams.begin(), upstreams.end(), registration.id,
+      [](const TrackedUpstream* left, const UpstreamId& right) {
+        return left->registration.id < right;
+      });
+  if (place == upstreams.end() || *place != &upstream) {
+    upstreams.insert(place, &upstream);
   }
 }
 
@@ -91,7 +96,7 @@
 
 void UpstreamTable::RemoveFromService(const ServiceName& service,
                                       const UpstreamId& id) {
-  std::erase(m_services[service], id);
+  std::erase(m_services[service], Find(id));
 }
 
 void UpstreamTable::SetEvacuated(const ZoneName& zone, bool evacuated) {
@@ -117,9 +122,9 @@
   return found == m_by_hash.end() ? nullptr : Find(found->second);
 }
 
-const std::vector<UpstreamId>& UpstreamTable::OfService(
+const std::vector<const TrackedUpstream*>& UpstreamTable::OfService(
     const ServiceName& service) const {
-  static const std::vector<UpstreamId> kNone;
+  static const std::vector<const TrackedUpstream*> kNone;
   const auto found = m_services.find(service);
   return found == m_services.end() ? kNone : found->second;
 }
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -108,8 +108,10 @@
   /** Returns the upstream with this StableHash of its id, or null. */
   TrackedUpstream* FindByHash(std::uint64_t upstream_hash);
 
-  /** Returns the ids of a service's upstreams, sorted. */
-  const std::vector<UpstreamId>& OfService(const ServiceName& service) const;
+  /** Returns a service's upstreams, sorted by id. The reference and the
+   * pointers are valid until the next call that isn't const. */
+  const std::vector<const TrackedUpstream*>& OfService(
+      const ServiceName& service) const;
 
   /** Returns whether an upstream may get new work as far as its own state and
    * its zone go; it may still be cold or full. */
@@ -177,7 +179,9 @@
   void RemoveFromService(const ServiceName& service, const UpstreamId& id);
 
   std::map<UpstreamId, TrackedUpstream> m_upstreams;
-  absl::flat_hash_map<ServiceName, std::vector<UpstreamId>> m_services;
+  /** Pointers into m_upstreams. */
+  absl::flat_hash_map<ServiceName, std::vector<const TrackedUpstream*>>
+      m_services;
   /** Upstreams by StableHash of their id. */
   absl::flat_hash_map<std::uint64_t, UpstreamId> m_by_hash;
   std::set<ZoneName> m_evacuated;
