Keep the messages for permits few in large deployments

Cause: each event checked the demands for all limited upstreams. A waiting request chose another upstream on each tick, since it knew no wait of upstreams that its own instance hadn't asked, so that a demand was sent, answered and withdrawn again for each try.

Change: an event costs work only for the upstreams that it concerns. A granted permit reduces the demand on both sides without a message, and a withdrawn demand isn't answered. A request that waits for a permit considers other upstreams each 100 ms only. The long waits that issuers tell are passed on in the digests of a region; limits that haven't changed are repeated there once a second only. A forecast beyond 500 ms isn't relied on, as the queue shrinks by withdrawals.

--- a/src/dispatch/cluster/fake_dispatch_cluster.cc
+++ b/src/dispatch/cluster/fake_dispatch_cluster.cc
@@ -195,6 +195,10 @@
     return;
   }
   ++peer_messages;
+  if (std::holds_alternative<PermitRequest>(effect.message) ||
+      std::holds_alternative<PermitGrant>(effect.message)) {
+    ++permit_messages;
+  }
   const Node& to = receiver->second;
   DeliverAfter(
       DelayBetween(node.identity.zone, to.identity.zone), to,
--- a/src/dispatch/cluster/fake_dispatch_cluster.h
+++ b/src/dispatch/cluster/fake_dispatch_cluster.h
@@ -95,6 +95,8 @@
   bool store_up = true;
   /** Messages between instances since the start. */
   std::uint64_t peer_messages = 0;
+  /** Those of them that demand or grant permits. */
+  std::uint64_t permit_messages = 0;
 
  private:
   struct Node {
--- a/src/dispatch/cluster/rate_limit_test.cc
+++ b/src/dispatch/cluster/rate_limit_test.cc
@@ -32,11 +32,14 @@
   return prefix + std::to_string(number);
 }
 
-/** Three regions with `per_region` instances and two upstreams each; the even
- * upstreams are those of the first zone of their region. */
+/** Three regions with `per_region` instances each, and upstreams in turn; the
+ * even upstreams are those of the first zone of their region. */
 class RatedCluster : public FakeDispatchCluster {
  public:
-  RatedCluster(int per_region, double requests_per_second, std::uint64_t seed)
+  RatedCluster(int per_region,
+               double requests_per_second,
+               std::uint64_t seed,
+               int upstream_count = 6)
       : FakeDispatchCluster({"lima-a", "lima-b", "arequipa-a", "arequipa-b",
                              "trujillo-a", "trujillo-b"},
                             seed) {
@@ -46,7 +49,7 @@
       AddInstance(Numbered("e", i), zone);
       instances.push_back(Numbered("e", i));
     }
-    for (int i = 0; i < 6; ++i) {
+    for (int i = 0; i < upstream_count; ++i) {
       upstreams.push_back(Numbered("v", i));
       AddUpstream(upstreams.back(), "vitrina",
                   regions[i % 3] + (i % 2 == 0 ? "-a" : "-b"), 6);
@@ -180,6 +183,31 @@
   }
 }
 
+TEST_CASE("Permits cost few messages in a deployment with many upstreams") {
+  // A demand, its answer, and a grant or the end of the demand; and as many as
+  // one request in three may change its upstream.
+  constexpr double kMaxMessagesPerRequest = 4;
+  RatedCluster cluster(8, 1200, 6, 48);
+  StateLimit(cluster, cluster.upstreams, 12);
+  cluster.Advance(Seconds(2));
+  cluster.ResetOutcomes();
+  cluster.permit_messages = 0;
+  const MonotonicTime begin = cluster.Now();
+  cluster.Advance(Seconds(4));
+  int requests = 0;
+  for (const std::string& instance : cluster.instances) {
+    requests += cluster.Outcomes(instance).answered +
+                cluster.Outcomes(instance).refused;
+  }
+  CHECK(static_cast<double>(cluster.permit_messages) <=
+        kMaxMessagesPerRequest * requests);
+  std::size_t arrivals = 0;
+  for (const std::string& upstream : cluster.upstreams) {
+    arrivals += cluster.Upstream(upstream).CountArrivals(begin, cluster.Now());
+  }
+  CHECK(static_cast<double>(arrivals) >= kMinUse * 12 * 48 * 4);
+}
+
 TEST_CASE("A request that a rate limit leaves no room for is refused at once") {
   RatedCluster cluster(3, 180, 5);
   StateLimit(cluster, cluster.upstreams, 5);
--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -46,8 +46,10 @@
   /** Earlier of the caller's deadline and the route's timeout. */
   MonotonicTime deadline;
   std::optional<ActiveSend> active;
-  /** Upstream for whose free slot the request waits. */
+  /** Upstream for whose free slot or permit the request waits. */
   std::optional<UpstreamId> awaited;
+  /** Last time at which an upstream was chosen for it. */
+  MonotonicTime chosen;
   /** The send that ended last, for the log. */
   std::optional<ActiveSend> last;
   /** Best choice for a request that was refused for lack of room because that
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -30,6 +30,11 @@
 // For callers that state no deadline; the timeout of the route bounds it.
 constexpr Duration kDefaultDeadline = Seconds(10);
 
+// Interval at which a request that waits for a permit considers other
+// upstreams. Each change of the upstream costs messages, and its place in the
+// queue.
+constexpr Duration kPermitRecheckInterval = Milliseconds(100);
+
 // Bounds of the retry time sent to refused callers. The upper bound also holds
 // for callers that are refused because the expected wait is too long.
 constexpr Duration kMinRetryAfter = Milliseconds(100);
@@ -187,6 +192,7 @@
     Context& context,
     DispatchRequest& request) {
   const MonotonicTime now = context.Now();
+  request.chosen = now;
   SetAwaited(request, std::nullopt);
   request.placement.cold_rate = FindColdRate(request.service);
   request.placement.time_slots =
@@ -212,9 +218,11 @@
                                    std::optional<UpstreamId> awaited) {
   if (request.awaited) {
     m_upstreams.OnAwaited(*request.awaited, -1);
+    m_rate_limiter.OnAwaitedChanged(*request.awaited);
   }
   if (awaited) {
     m_upstreams.OnAwaited(*awaited, 1);
+    m_rate_limiter.OnAwaitedChanged(*awaited);
   }
   request.awaited = std::move(awaited);
 }
@@ -228,6 +236,14 @@
                              /*has_affinity=*/true, now);
 }
 
+bool RequestDispatcher::KeepsWaitingForPermit(const DispatchRequest& request,
+                                              MonotonicTime now) const {
+  const TrackedUpstream* upstream =
+      request.awaited ? m_upstreams.Find(*request.awaited) : nullptr;
+  return upstream != nullptr && upstream->rate_limit.Rate() &&
+         now - request.chosen < kPermitRecheckInterval;
+}
+
 void RequestDispatcher::PlaceWaiting(Context& context,
                                      const ServiceName& service) {
   const auto found = m_queues.find(service);
@@ -243,7 +259,9 @@
     if (request == nullptr) {
       continue;
     }
-    if (failures >= kMaxFailures && !MayHaveRoom(*request, context.Now())) {
+    const bool skipped = failures >= kMaxFailures ||
+                         KeepsWaitingForPermit(*request, context.Now());
+    if (skipped && !MayHaveRoom(*request, context.Now())) {
       continue;
     }
     if (!TryStart(context, *request)) {
@@ -569,13 +587,14 @@
                                      const LoadDigest& digest) {
   m_shared_load.OnDigest(sender, digest, context.Now());
   m_rate_limiter.OnPeerLimits(context, sender, digest.limits);
+  m_rate_limiter.OnPeerForecasts(digest.forecasts, context.Now());
 }
 
 LoadDigest RequestDispatcher::MakeDigest(MonotonicTime now) {
-  std::vector<UpstreamLimit> limits =
-      m_rate_limiter.ListOwnLimits(m_shared_load.LastDigest(), now);
+  const MonotonicTime since = m_shared_load.LastDigest();
   LoadDigest digest = m_shared_load.MakeDigest(now);
-  digest.limits = std::move(limits);
+  digest.limits = m_rate_limiter.TakeLimitReports(since, now);
+  digest.forecasts = m_rate_limiter.ListForecasts(since, now);
   return digest;
 }
 
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -128,6 +128,10 @@
    * the others. */
   void PlaceWaiting(Context& context, const ServiceName& service);
   bool MayHaveRoom(const DispatchRequest& request, MonotonicTime now) const;
+  /** Returns whether the request keeps waiting for a permit of the upstream
+   * that was chosen for it a moment ago. */
+  bool KeepsWaitingForPermit(const DispatchRequest& request,
+                             MonotonicTime now) const;
   /** Starts a send, or records the upstream for which the request waits, or
    * refuses the request if it would miss its deadline. */
   bool TryStart(Context& context, DispatchRequest& request);
--- a/src/dispatch/send_permits.cc
+++ b/src/dispatch/send_permits.cc
@@ -5,6 +5,18 @@
 #include <cmath>
 
 namespace kumquatcove {
+namespace {
+
+// Requests that would wait longer are refused, so that a longer queue shrinks
+// faster than by the permits.
+constexpr Duration kMaxForecast = Milliseconds(500);
+// Time for which a forecast of another instance makes a report of an own one
+// needless.
+constexpr Duration kForecastInterval = Milliseconds(300);
+// Shorter waits make no request go elsewhere.
+constexpr Duration kMinSharedWait = Milliseconds(100);
+
+}  // namespace
 
 void SendPermits::Add(int count, MonotonicTime now) {
   std::erase_if(m_expiries,
@@ -34,6 +46,37 @@
   m_forecast_wait = wait;
   m_forecast_wanted = wanted;
   m_forecast_at = now;
+  m_own_forecast_at = now;
+}
+
+void SendPermits::OnPeerForecast(const PermitForecast& forecast,
+                                 int wanted,
+                                 MonotonicTime now) {
+  if (forecast.wait < Duration::zero() || forecast.age < Duration::zero() ||
+      now - forecast.age <= m_forecast_at) {
+    return;
+  }
+  m_forecast_wait = forecast.wait;
+  m_forecast_wanted = wanted;
+  m_forecast_at = now - forecast.age;
+  m_peer_forecast_at = now;
+}
+
+std::optional<PermitForecast> SendPermits::FindForecastToShare(
+    std::uint64_t upstream_hash,
+    MonotonicTime since,
+    MonotonicTime now) const {
+  const bool is_known = now - m_peer_forecast_at < kForecastInterval;
+  if (m_own_forecast_at < since || is_known ||
+      FindKnownWait(now) <= kMinSharedWait) {
+    return std::nullopt;
+  }
+  return PermitForecast{upstream_hash, m_forecast_wait, now - m_forecast_at};
+}
+
+Duration SendPermits::FindKnownWait(MonotonicTime now) const {
+  return std::max(Duration::zero(), std::min(m_forecast_wait, kMaxForecast) -
+                                        (now - m_forecast_at));
 }
 
 Duration SendPermits::EstimateWait(int ahead,
@@ -46,8 +89,7 @@
   }
   const int unknown = ahead - valid - m_forecast_wanted;
   const auto further = Duration(std::llround(unknown / rate * 1'000'000));
-  const Duration known = m_forecast_wait - (now - m_forecast_at);
-  return std::max(Duration::zero(), known + further);
+  return std::max(Duration::zero(), FindKnownWait(now) + further);
 }
 
 }  // namespace kumquatcove
--- a/src/dispatch/send_permits.h
+++ b/src/dispatch/send_permits.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "base/clock_reading.h"
+#include "protocol/peer_message.h"
 
 namespace kumquatcove {
 
@@ -30,8 +32,18 @@
   std::uint64_t Received() const { return m_received; }
 
   /** Records the issuer's forecast: the time until a permit for one request
-   * more than the `wanted` that it knows of. */
+   * more than the `wanted` of this instance that it knows of. */
   void SetForecast(Duration wait, int wanted, MonotonicTime now);
+  /** Records a forecast that another instance has received, if it is newer. */
+  void OnPeerForecast(const PermitForecast& forecast,
+                      int wanted,
+                      MonotonicTime now);
+  /** Returns the forecast if the issuer has told it to this instance since
+   * `since` and it makes requests go elsewhere, unless another instance has
+   * told one lately. */
+  std::optional<PermitForecast> FindForecastToShare(std::uint64_t upstream_hash,
+                                                    MonotonicTime since,
+                                                    MonotonicTime now) const;
 
   /** Returns the expected time until a request gets a permit behind `ahead`
    * waiting requests of this instance; zero if nothing is known, as the issuer
@@ -46,12 +58,19 @@
   void SetIssuerFound() { m_lost_until = MonotonicTime(); }
 
  private:
+  /** Returns what remains of the forecast wait. */
+  Duration FindKnownWait(MonotonicTime now) const;
+
   /** Times of expiry, in ascending order. */
   std::deque<MonotonicTime> m_expiries;
   std::uint64_t m_received = 0;
   Duration m_forecast_wait{0};
   int m_forecast_wanted = 0;
   MonotonicTime m_forecast_at;
+  /** Last forecast that the issuer has told this instance. */
+  MonotonicTime m_own_forecast_at;
+  /** Last forecast that another instance has told. */
+  MonotonicTime m_peer_forecast_at;
   MonotonicTime m_lost_until;
 };
 
--- a/src/dispatch/upstream_rate_limiter.cc
+++ b/src/dispatch/upstream_rate_limiter.cc
@@ -13,6 +13,10 @@
 // Time after the end of a limit in which it is still told to other instances.
 constexpr Duration kEndReportTime = Seconds(3);
 
+// Time after which a limit that hasn't changed is told to the others again, for
+// instances that have started since.
+constexpr Duration kReportInterval = Seconds(1);
+
 // Minimum time between two requests for permits of an upstream, and the time
 // after which a demand is repeated.
 constexpr Duration kMinRequestInterval = Milliseconds(20);
@@ -29,6 +33,11 @@
 // Time until an issuer is looked for again.
 constexpr Duration kRetryDelay = Seconds(1);
 
+// Between checks of all demands, an event costs only the work for the upstreams
+// that it concerns.
+constexpr Duration kCheckInterval = Milliseconds(10);
+constexpr Duration kDropInterval = Seconds(1);
+
 // Finding the coordinator takes time proportional to the number of instances.
 constexpr Duration kCoordinatorCacheTime = Milliseconds(50);
 
@@ -88,6 +97,19 @@
   }
 }
 
+void UpstreamRateLimiter::OnPeerForecasts(
+    const std::vector<PermitForecast>& forecasts,
+    MonotonicTime now) {
+  for (const PermitForecast& forecast : forecasts) {
+    if (TrackedUpstream* upstream =
+            m_table.FindByHash(forecast.upstream_hash)) {
+      const auto demand = m_demands.find(upstream->registration.id);
+      upstream->permits.OnPeerForecast(
+          forecast, demand == m_demands.end() ? 0 : demand->second.wanted, now);
+    }
+  }
+}
+
 void UpstreamRateLimiter::OnChanged(Context& context,
                                     const TrackedUpstream& upstream,
                                     std::optional<double> previous,
@@ -98,19 +120,27 @@
                   {"previous", FormatRate(previous)},
                   {"source", source}});
   m_limited.insert(upstream.registration.id);
+  m_changed.insert(upstream.registration.id);
   if (!rate) {
     // Requests that wait for a permit need none any more.
     m_granted.insert(upstream.registration.id);
   }
 }
 
-std::vector<UpstreamLimit> UpstreamRateLimiter::ListOwnLimits(
+std::vector<UpstreamLimit> UpstreamRateLimiter::TakeLimitReports(
     MonotonicTime since,
-    MonotonicTime now) const {
+    MonotonicTime now) {
   std::vector<UpstreamLimit> limits;
   for (const UpstreamId& id : m_limited) {
     const TrackedUpstream* upstream = m_table.Find(id);
-    if (upstream != nullptr && upstream->limit_answered >= since) {
+    if (upstream == nullptr || upstream->limit_answered < since) {
+      continue;
+    }
+    const std::optional<double> rate = upstream->rate_limit.Rate();
+    const auto [entry, inserted] = m_reports.try_emplace(id);
+    LimitReport& last = entry->second;
+    if (inserted || last.rate != rate || now - last.sent >= kReportInterval) {
+      last = {rate, now};
       limits.push_back(
           {StableHash(id.Text()), upstream->rate_limit.Report(now)});
     }
@@ -118,6 +148,23 @@
   return limits;
 }
 
+std::vector<PermitForecast> UpstreamRateLimiter::ListForecasts(
+    MonotonicTime since,
+    MonotonicTime now) const {
+  std::vector<PermitForecast> forecasts;
+  for (const UpstreamId& id : m_limited) {
+    const TrackedUpstream* upstream = m_table.Find(id);
+    const std::optional<PermitForecast> forecast =
+        upstream == nullptr ? std::nullopt
+                            : upstream->permits.FindForecastToShare(
+                                  StableHash(id.Text()), since, now);
+    if (forecast) {
+      forecasts.push_back(*forecast);
+    }
+  }
+  return forecasts;
+}
+
 void UpstreamRateLimiter::OnPermitRequest(Context& context,
                                           const InstanceId& sender,
                                           const PermitRequest& request) {
@@ -129,7 +176,10 @@
     OnPeerLimits(context, sender, {{demand.upstream_hash, demand.limit}});
     m_issuer.SetDemand(sender, demand.upstream_hash, demand.wanted,
                        demand.received, context.Now());
-    m_unanswered.emplace(sender, demand.upstream_hash);
+    if (demand.wanted > 0) {
+      m_unanswered.emplace(sender, demand.upstream_hash);
+    }
+    m_demanded.insert(demand.upstream_hash);
   }
 }
 
@@ -149,6 +199,7 @@
     }
     if (!granted.issuer.IsEmpty()) {
       demand.last_sent.reset();
+      m_changed.insert(upstream->registration.id);
       if (granted.issuer == context.Self().instance) {
         // The sender knows no issuer in its region.
         m_silent[sender] = now + kSilentTime;
@@ -164,8 +215,10 @@
     }
     upstream->permits.SetIssuerFound();
     const int count = std::clamp(granted.count, 0, PermitIssuer::kMaxWanted);
+    // The issuer has reduced its count of this demand by as much.
+    demand.wanted = std::max(0, demand.wanted - count);
     upstream->permits.SetForecast(std::max(Duration::zero(), granted.wait),
-                                  std::max(0, demand.wanted - count), now);
+                                  demand.wanted, now);
     if (count > 0) {
       upstream->permits.Add(count, now);
       m_granted.insert(upstream->registration.id);
@@ -175,32 +228,61 @@
 
 void UpstreamRateLimiter::Exchange(Context& context,
                                    const EntryPresence& presence) {
-  if (m_limited.empty() && m_unanswered.empty()) {
+  const MonotonicTime now = context.Now();
+  if (now - m_dropped >= kDropInterval) {
+    m_dropped = now;
+    DropEnded(now);
+  }
+  if (now - m_checked >= kCheckInterval) {
+    m_checked = now;
+    m_changed.insert(m_wanted.begin(), m_wanted.end());
+    const std::vector<std::uint64_t> issued = m_issuer.ListUpstreams();
+    m_demanded.insert(issued.begin(), issued.end());
+  }
+  if (m_changed.empty() && m_demanded.empty()) {
     return;
   }
-  RequestPermits(context, presence);
-  IssuePermits(context, presence);
+  RequestPermits(context, presence, std::exchange(m_changed, {}));
+  IssuePermits(context, presence, std::exchange(m_demanded, {}));
   SendGrants(context, presence);
 }
 
-void UpstreamRateLimiter::RequestPermits(Context& context,
-                                         const EntryPresence& presence) {
-  std::map<InstanceId, PermitRequest> requests;
+void UpstreamRateLimiter::DropEnded(MonotonicTime now) {
   for (auto id = m_limited.begin(); id != m_limited.end();) {
-    TrackedUpstream* upstream = m_table.Find(*id);
-    const bool ended =
-        upstream == nullptr ||
-        (!upstream->rate_limit.Rate() &&
-         context.Now() - upstream->limit_answered >= kEndReportTime);
+    const TrackedUpstream* upstream = m_table.Find(*id);
+    const bool ended = upstream == nullptr ||
+                       (!upstream->rate_limit.Rate() &&
+                        now - upstream->limit_answered >= kEndReportTime);
     if (ended) {
       m_demands.erase(*id);
+      m_reports.erase(*id);
       id = m_limited.erase(id);
-      continue;
+    } else {
+      ++id;
     }
-    if (upstream->rate_limit.Rate()) {
+  }
+  m_issuer.DropIdle(now);
+  std::erase_if(m_coordinators, [now](const auto& entry) {
+    return now - entry.second.found >= PermitIssuer::kIdleTimeout;
+  });
+}
+
+void UpstreamRateLimiter::RequestPermits(
+    Context& context,
+    const EntryPresence& presence,
+    const std::set<UpstreamId>& upstreams) {
+  std::map<InstanceId, PermitRequest> requests;
+  for (const UpstreamId& id : upstreams) {
+    TrackedUpstream* upstream = m_table.Find(id);
+    const bool limited = upstream != nullptr && upstream->rate_limit.Rate();
+    if (limited) {
       UpdateDemand(context, presence, *upstream, requests);
     }
-    ++id;
+    if (limited && (upstream->awaited > 0 || m_demands[id].wanted > 0)) {
+      m_wanted.insert(id);
+    } else {
+      m_wanted.erase(id);
+    }
   }
   for (auto& [instance, request] : requests) {
     if (const auto address = presence.FindAddress(instance)) {
@@ -251,12 +333,13 @@
   if (*issuer == context.Self().instance) {
     upstream.permits.SetIssuerFound();
     m_issuer.SetDemand(*issuer, hash, wanted, upstream.permits.Received(), now);
+    m_demanded.insert(hash);
     upstream.permits.SetForecast(
         m_issuer.EstimateWait(hash, FindIssuedRate(context, upstream)), wanted,
         now);
     return;
   }
-  if (!demand.unanswered_since) {
+  if (wanted > 0 && !demand.unanswered_since) {
     demand.unanswered_since = now;
   }
   requests[*issuer].demands.push_back({hash, wanted,
@@ -356,10 +439,12 @@
   demand.paused_until = until;
 }
 
-void UpstreamRateLimiter::IssuePermits(Context& context,
-                                       const EntryPresence& presence) {
+void UpstreamRateLimiter::IssuePermits(
+    Context& context,
+    const EntryPresence& presence,
+    const std::set<std::uint64_t>& upstreams) {
   const MonotonicTime now = context.Now();
-  for (const std::uint64_t hash : m_issuer.ListUpstreams()) {
+  for (const std::uint64_t hash : upstreams) {
     const TrackedUpstream* upstream = m_table.FindByHash(hash);
     if (upstream == nullptr) {
       m_issuer.Forget(hash);
@@ -379,10 +464,6 @@
   for (const auto& [instance, hash] : std::exchange(m_unanswered, {})) {
     AddGrant(context, presence, instance, hash, 0);
   }
-  m_issuer.DropIdle(now);
-  std::erase_if(m_coordinators, [now](const auto& entry) {
-    return now - entry.second.found >= PermitIssuer::kIdleTimeout;
-  });
 }
 
 void UpstreamRateLimiter::AddGrant(Context& context,
@@ -399,8 +480,8 @@
       m_issuer.EstimateWait(upstream_hash, FindIssuedRate(context, *upstream));
   if (instance == context.Self().instance) {
     Demand& demand = m_demands[upstream->registration.id];
-    upstream->permits.SetForecast(wait, std::max(0, demand.wanted - count),
-                                  now);
+    demand.wanted = std::max(0, demand.wanted - count);
+    upstream->permits.SetForecast(wait, demand.wanted, now);
     upstream->permits.Add(count, now);
     m_granted.insert(upstream->registration.id);
     return;
--- a/src/dispatch/upstream_rate_limiter.h
+++ b/src/dispatch/upstream_rate_limiter.h
@@ -66,10 +66,19 @@
                     const InstanceId& sender,
                     const std::vector<UpstreamLimit>& limits);
 
+  /** Applies the waits for permits that another instance was told. */
+  void OnPeerForecasts(const std::vector<PermitForecast>& forecasts,
+                       MonotonicTime now);
+
   /** Returns the limits that upstreams have stated to this instance since
-   * `since`, and the limits that have ended recently. */
-  std::vector<UpstreamLimit> ListOwnLimits(MonotonicTime since,
-                                           MonotonicTime now) const;
+   * `since`, and the limits that have ended recently; those that the other
+   * instances have been told lately are left out. */
+  std::vector<UpstreamLimit> TakeLimitReports(MonotonicTime since,
+                                              MonotonicTime now);
+  /** Returns the long waits for permits that this instance was told since
+   * `since`, unless another one has told it a wait for that upstream lately. */
+  std::vector<PermitForecast> ListForecasts(MonotonicTime since,
+                                            MonotonicTime now) const;
 
   /** Handles another instance's demand for permits; Exchange() answers it. */
   void OnPermitRequest(Context& context,
@@ -84,6 +93,14 @@
   /** Records that a message of another instance has arrived. */
   void OnPeerContact(const InstanceId& sender) { m_silent.erase(sender); }
 
+  /** Records that the number of requests which wait for an upstream has
+   * changed. */
+  void OnAwaitedChanged(const UpstreamId& id) {
+    if (m_limited.contains(id)) {
+      m_changed.insert(id);
+    }
+  }
+
   /** Requests and issues permits as far as due; to be called after each event
    * and at least every 10 ms. */
   void Exchange(Context& context, const EntryPresence& presence);
@@ -111,7 +128,12 @@
                  const TrackedUpstream& upstream,
                  std::optional<double> previous,
                  const std::string& source);
-  void RequestPermits(Context& context, const EntryPresence& presence);
+  /** Discards the demands for upstreams whose limit has ended. */
+  void DropEnded(MonotonicTime now);
+  /** Requests permits of these upstreams as far as due. */
+  void RequestPermits(Context& context,
+                      const EntryPresence& presence,
+                      const std::set<UpstreamId>& upstreams);
   /** Updates the demand for one upstream, and adds it to `requests` if it is to
    * be sent now. */
   void UpdateDemand(Context& context,
@@ -123,7 +145,11 @@
                                        const TrackedUpstream& upstream,
                                        Demand& demand);
   void LoseIssuer(Context& context, TrackedUpstream& upstream, Demand& demand);
-  void IssuePermits(Context& context, const EntryPresence& presence);
+  /** Issues the permits of these upstreams, given by the StableHash of their
+   * ids, and answers the demands for them. */
+  void IssuePermits(Context& context,
+                    const EntryPresence& presence,
+                    const std::set<std::uint64_t>& upstreams);
   void AddGrant(Context& context,
                 const EntryPresence& presence,
                 const InstanceId& instance,
@@ -145,6 +171,12 @@
                                           const RegionName& region,
                                           std::uint64_t upstream_hash);
 
+  /** What this instance has last told the others of a limit. */
+  struct LimitReport {
+    std::optional<double> rate;
+    MonotonicTime sent;
+  };
+
   struct CachedCoordinator {
     std::optional<InstanceId> instance;
     MonotonicTime found;
@@ -154,7 +186,21 @@
   PermitIssuer m_issuer;
   /** Upstreams with a limit, or whose limit has ended recently. */
   std::set<UpstreamId> m_limited;
+  /** Limited upstreams whose demand may have changed since the last
+   * Exchange(). */
+  std::set<UpstreamId> m_changed;
+  /** Limited upstreams for which requests wait here, or for whose permits this
+   * instance has a demand. */
+  std::set<UpstreamId> m_wanted;
+  /** Upstreams for whose permits demands have arrived since the last
+   * Exchange(). */
+  std::set<std::uint64_t> m_demanded;
+  /** Last time at which all demands were checked. */
+  MonotonicTime m_checked;
+  /** Last call of DropEnded(). */
+  MonotonicTime m_dropped;
   std::map<UpstreamId, Demand> m_demands;
+  std::map<UpstreamId, LimitReport> m_reports;
   /** Instances that didn't answer a permit request, until these times. */
   std::map<InstanceId, MonotonicTime> m_silent;
   /** Demands that are to be answered even without permits. */
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -375,6 +375,19 @@
 };
 BOOST_DESCRIBE_STRUCT(UpstreamLimit, (), (upstream_hash, limit))
 
+/** Expected time until a further request gets a permit of an upstream, as told
+ * by the instance that issues its permits. */
+struct PermitForecast {
+  /** StableHash of the upstream's id. */
+  std::uint64_t upstream_hash = 0;
+  Duration wait{0};
+  /** Time since the issuer's message was received. */
+  Duration age{0};
+  friend bool operator==(const PermitForecast&,
+                         const PermitForecast&) = default;
+};
+BOOST_DESCRIBE_STRUCT(PermitForecast, (), (upstream_hash, wait, age))
+
 /** Requests of the sender that wait for permits of an upstream. */
 struct PermitDemand {
   /** StableHash of the upstream's id. */
@@ -444,6 +457,8 @@
   /** Rate limits that upstreams have stated to the sender, or stopped to state.
    */
   std::vector<UpstreamLimit> limits;
+  /** Waits for permits that issuers have told the sender. */
+  std::vector<PermitForecast> forecasts;
   friend bool operator==(const LoadDigest&, const LoadDigest&) = default;
 };
 BOOST_DESCRIBE_STRUCT(LoadDigest,
@@ -453,7 +468,8 @@
                        operator_version,
                        upstreams_version,
                        store_era,
-                       limits))
+                       limits,
+                       forecasts))
 
 using PeerMessage = std::variant<Gossip,
                                  SlotRequest,
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -230,6 +230,7 @@
   upstreamsVersion @3 :Int64;
   limits @4 :List(UpstreamLimit);
   storeEra @5 :Int64;
+  forecasts @6 :List(PermitForecast);
 }
 
 struct StatedLimit {
@@ -237,6 +238,12 @@
   age @1 :Int64;
 }
 
+struct PermitForecast {
+  upstreamHash @0 :UInt64;
+  wait @1 :Int64;
+  age @2 :Int64;
+}
+
 struct UpstreamLimit {
   upstreamHash @0 :UInt64;
   limit @1 :StatedLimit;
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -126,6 +126,7 @@
 CAPNP_DECLARE_SCHEMA(e83c91b93747206d);
 CAPNP_DECLARE_SCHEMA(c907469322ea2370);
 CAPNP_DECLARE_SCHEMA(b6b53b8af6621b4d);
+CAPNP_DECLARE_SCHEMA(dc189adc187d001c);
 CAPNP_DECLARE_SCHEMA(e078536cce6566d2);
 CAPNP_DECLARE_SCHEMA(9f99b684fdf50e81);
 CAPNP_DECLARE_SCHEMA(8ea495e9702632ae);
@@ -610,7 +611,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c907469322ea2370, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -632,6 +633,21 @@
   };
 };
 
+struct PermitForecast {
+  PermitForecast() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc189adc187d001c, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpstreamLimit {
   UpstreamLimit() = delete;
 
@@ -3682,6 +3698,9 @@
 
   inline  ::int64_t getStoreEra() const;
 
+  inline bool hasForecasts() const;
+  inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Reader getForecasts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3740,6 +3759,13 @@
   inline  ::int64_t getStoreEra();
   inline void setStoreEra( ::int64_t value);
 
+  inline bool hasForecasts();
+  inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Builder getForecasts();
+  inline void setForecasts( ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Builder initForecasts(unsigned int size);
+  inline void adoptForecasts(::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>> disownForecasts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3847,6 +3873,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class PermitForecast::Reader {
+public:
+  typedef PermitForecast Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash() const;
+
+  inline  ::int64_t getWait() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitForecast::Builder {
+public:
+  typedef PermitForecast Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamHash();
+  inline void setUpstreamHash( ::uint64_t value);
+
+  inline  ::int64_t getWait();
+  inline void setWait( ::int64_t value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitForecast::Pipeline {
+public:
+  typedef PermitForecast Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class UpstreamLimit::Reader {
 public:
   typedef UpstreamLimit Reads;
@@ -8784,6 +8896,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadDigest::Reader::hasForecasts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadDigest::Builder::hasForecasts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Reader LoadDigest::Reader::getForecasts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::getForecasts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadDigest::Builder::setForecasts( ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>::Builder LoadDigest::Builder::initForecasts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LoadDigest::Builder::adoptForecasts(
+    ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>> LoadDigest::Builder::disownForecasts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::kumquatcove::schema::PermitForecast,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline double StatedLimit::Reader::getRate() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8812,6 +8958,48 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PermitForecast::Reader::getUpstreamHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitForecast::Builder::getUpstreamHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitForecast::Builder::setUpstreamHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitForecast::Reader::getWait() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitForecast::Builder::getWait() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitForecast::Builder::setWait( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitForecast::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitForecast::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitForecast::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t UpstreamLimit::Reader::getUpstreamHash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
