Refuse requests at once that rate limits leave no room for

Cause: the log shows that nearly all waited for the few upstreams without a limit. Where limited upstreams had no room, any queue of another counted as better, up to the request's deadline; newer requests overtook it there, since late ones come last, and it wasn't considered again. A late request also tried one limited upstream after the other whose wait it didn't know.

Change: after its latency objective a request isn't queued for a permit. While limited upstreams have no room for a request, it isn't queued for another one either unless it can start within the objective. Each waiting request is considered again when its objective has passed.

Both tests failed before: refusals after up to 708 and 960 ms, where 400 ms are allowed.

--- a/src/dispatch/cluster/rate_limit_test.cc
+++ b/src/dispatch/cluster/rate_limit_test.cc
@@ -21,6 +21,10 @@
 // Share of a limit that must be used while callers want more.
 constexpr double kMinUse = 0.8;
 
+// The latency objective of the routes, the time that a request keeps waiting
+// for a permit, and some ticks.
+constexpr Duration kMaxRefusalTime = Milliseconds(250 + 100 + 50);
+
 constexpr const char* kRoutes = "5 a.example /browse/ vitrina i";
 
 double MaxArrivals(double rate) {
@@ -220,4 +224,25 @@
   CHECK(refused > 500);
 }
 
+TEST_CASE("A request doesn't try one limited upstream after the other") {
+  RatedCluster cluster(8, 1200, 7, 48);
+  StateLimit(cluster, cluster.upstreams, 12);
+  cluster.Advance(Seconds(6));
+  for (const std::string& instance : cluster.instances) {
+    CHECK(cluster.Outcomes(instance).slowest_refusal <= kMaxRefusalTime);
+  }
+}
+
+TEST_CASE(
+    "Requests that rate limits leave no room for don't wait for the other "
+    "upstreams until their deadline") {
+  RatedCluster cluster(8, 1800, 8, 24);
+  StateLimit(cluster, {cluster.upstreams.begin(), cluster.upstreams.end() - 3},
+             5);
+  cluster.Advance(Seconds(6));
+  for (const std::string& instance : cluster.instances) {
+    CHECK(cluster.Outcomes(instance).slowest_refusal <= kMaxRefusalTime);
+  }
+}
+
 }  // namespace kumquatcove
--- a/src/dispatch/placement.cc
+++ b/src/dispatch/placement.cc
@@ -312,6 +312,7 @@
       EstimateLoads(request.service, now);
   std::optional<Candidate> best;
   std::optional<Candidate> best_planned;
+  bool any_rate_exceeded = false;
   for (const TrackedUpstream* tracked :
        m_upstreams.OfService(request.service)) {
     const TrackedUpstream& upstream = *tracked;
@@ -340,6 +341,12 @@
     Candidate candidate = EvaluateCandidate(upstream, request, rank,
                                             loads.at(upstream.region), now);
     candidate.choice.has_room = has_room;
+    // A late request would take the permit of one that isn't late.
+    if (upstream.rate_limit.Rate() && !has_room &&
+        now >= request.useful_until) {
+      candidate.choice.rate_exceeded = true;
+    }
+    any_rate_exceeded |= candidate.choice.rate_exceeded;
     candidate.choice.overflow =
         !plan.region.IsEmpty() && upstream.region != plan.region;
     candidate.cost_us += random.NextFraction() * kSpreadMicroseconds;
@@ -355,6 +362,11 @@
   }
   PlacementChoice choice = chosen->choice;
   choice.overflow_denied = denied;
+  // Requests for which limited upstreams have no room must not fill the queues
+  // of the others.
+  const MonotonicTime start = now + choice.completion - choice.work_time;
+  choice.rate_exceeded |=
+      any_rate_exceeded && !choice.has_room && start > request.useful_until;
   return choice;
 }
 
--- a/src/dispatch/placement.h
+++ b/src/dispatch/placement.h
@@ -51,7 +51,7 @@
   Duration completion{0};
   /** Expected time at the upstream, without network and waiting. */
   Duration work_time{0};
-  /** The wait for the upstream's rate limit is too long to be worthwhile. */
+  /** Rate limits leave no room for the request within its latency objective. */
   bool rate_exceeded = false;
   /** Estimated number of requests at the upstream. */
   double occupancy = 0;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -259,9 +259,12 @@
     if (request == nullptr) {
       continue;
     }
+    const MonotonicTime useful_until = request->placement.useful_until;
+    const bool is_newly_late =
+        request->chosen < useful_until && context.Now() >= useful_until;
     const bool skipped = failures >= kMaxFailures ||
                          KeepsWaitingForPermit(*request, context.Now());
-    if (skipped && !MayHaveRoom(*request, context.Now())) {
+    if (skipped && !is_newly_late && !MayHaveRoom(*request, context.Now())) {
       continue;
     }
     if (!TryStart(context, *request)) {
