Check late requests again only while rate limits apply

While limits apply, a request that was late before they began wasn't checked at all.

Change: the check is made only while upstreams state limits, or did lately, and is repeated each 100 ms.

--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -30,10 +30,10 @@
 // For callers that state no deadline; the timeout of the route bounds it.
 constexpr Duration kDefaultDeadline = Seconds(10);
 
-// Interval at which a request that waits for a permit considers other
-// upstreams. Each change of the upstream costs messages, and its place in the
-// queue.
-constexpr Duration kPermitRecheckInterval = Milliseconds(100);
+// Interval at which a request that waits for a permit, or is late, considers
+// other upstreams. Each change of the upstream costs messages, and its place in
+// the queue.
+constexpr Duration kRecheckInterval = Milliseconds(100);
 
 // Bounds of the retry time sent to refused callers. The upper bound also holds
 // for callers that are refused because the expected wait is too long.
@@ -241,7 +241,15 @@
   const TrackedUpstream* upstream =
       request.awaited ? m_upstreams.Find(*request.awaited) : nullptr;
   return upstream != nullptr && upstream->rate_limit.Rate() &&
-         now - request.chosen < kPermitRecheckInterval;
+         now - request.chosen < kRecheckInterval;
+}
+
+bool RequestDispatcher::IsLateCheckDue(const DispatchRequest& request,
+                                       MonotonicTime now) const {
+  const MonotonicTime useful_until = request.placement.useful_until;
+  return m_rate_limiter.HasLimits() && now >= useful_until &&
+         (request.chosen < useful_until ||
+          now - request.chosen >= kRecheckInterval);
 }
 
 void RequestDispatcher::PlaceWaiting(Context& context,
@@ -259,12 +267,10 @@
     if (request == nullptr) {
       continue;
     }
-    const MonotonicTime useful_until = request->placement.useful_until;
-    const bool is_newly_late =
-        request->chosen < useful_until && context.Now() >= useful_until;
     const bool skipped = failures >= kMaxFailures ||
                          KeepsWaitingForPermit(*request, context.Now());
-    if (skipped && !is_newly_late && !MayHaveRoom(*request, context.Now())) {
+    if (skipped && !IsLateCheckDue(*request, context.Now()) &&
+        !MayHaveRoom(*request, context.Now())) {
       continue;
     }
     if (!TryStart(context, *request)) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -132,6 +132,9 @@
    * that was chosen for it a moment ago. */
   bool KeepsWaitingForPermit(const DispatchRequest& request,
                              MonotonicTime now) const;
+  /** Returns whether a request that has missed its latency objective is to be
+   * checked, since rate limits may leave no room for it. */
+  bool IsLateCheckDue(const DispatchRequest& request, MonotonicTime now) const;
   /** Starts a send, or records the upstream for which the request waits, or
    * refuses the request if it would miss its deadline. */
   bool TryStart(Context& context, DispatchRequest& request);
--- a/src/dispatch/upstream_rate_limiter.h
+++ b/src/dispatch/upstream_rate_limiter.h
@@ -53,6 +53,9 @@
    * instances, at least kMinRate; `std::nullopt` if it states no limit. */
   static std::optional<double> FindRate(const TrackedUpstream& upstream);
 
+  /** Returns whether any upstream states a rate limit, or did lately. */
+  bool HasLimits() const { return !m_limited.empty(); }
+
   /** Applies an answer of an upstream to a request that was sent to it at
    * `sent`. */
   void OnAnswer(Context& context,
