--- a/review/stand_in/orders.cc
+++ b/review/stand_in/orders.cc
@@ -1,9 +1,12 @@
-// Clients and targets of one small deployment, each with a thread of its own: clients send orders, one after the other,
-// and targets run them. They speak what PROTOCOL.md says and use nothing but the C++ library and sockets.
+// Clients and targets of one small deployment, each with a thread of its own:
+// clients send orders, one after the other, and targets run them. They speak
+// what PROTOCOL.md says and use nothing but the C++ library and sockets.
 //
-// Usage: orders CLIENTS TARGETS WORK_MS DEADLINE_MS PAUSE_MS DIRECTORY[,DIRECTORY...] ZONE REGION HOST
-// Writes "targets PORT..." to standard output, begins after a line on standard input and ends at its end. Then each
-// request is a line of the output: ATTEMPT INSTANCE SENT ENDED HOW RUN_BEGAN RUN_ENDED, in seconds of CLOCK_MONOTONIC.
+// Usage: orders CLIENTS TARGETS WORK_MS DEADLINE_MS PAUSE_MS
+// DIRECTORY[,DIRECTORY...] ZONE REGION HOST Writes "targets PORT..." to
+// standard output, begins after a line on standard input and ends at its end.
+// Then each request is a line of the output: ATTEMPT INSTANCE SENT ENDED HOW
+// RUN_BEGAN RUN_ENDED, in seconds of CLOCK_MONOTONIC.
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -37,11 +40,13 @@
 double Now() {
   timespec time{};
   clock_gettime(CLOCK_MONOTONIC, &time);
-  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) / 1e9;
 }
 
 void Sleep(double seconds) {
-  std::this_thread::sleep_for(std::chrono::duration<double>(std::max(0.0, seconds)));
+  std::this_thread::sleep_for(
+      std::chrono::duration<double>(std::max(0.0, seconds)));
 }
 
 std::vector<std::string> Split(const std::string& text, char separator) {
@@ -100,7 +105,8 @@
 void SetTimeout(int socket, int option, double seconds) {
   timeval time{};
   time.tv_sec = static_cast<time_t>(seconds);
-  time.tv_usec = static_cast<suseconds_t>((seconds - static_cast<double>(time.tv_sec)) * 1e6);
+  time.tv_usec = static_cast<suseconds_t>(
+      (seconds - static_cast<double>(time.tv_sec)) * 1e6);
   setsockopt(socket, SOL_SOCKET, option, &time, sizeof(time));
 }
 
@@ -111,14 +117,17 @@
   const int on = 1;
   setsockopt(opened, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   SetTimeout(opened, SO_SNDTIMEO, kConnectTimeoutSeconds);
-  // The last packet of the handshake carries the request, as it does over a real network.
+  // The last packet of the handshake carries the request, as it does over a
+  // real network.
   const int off = 0;
   setsockopt(opened, IPPROTO_TCP, TCP_QUICKACK, &off, sizeof(off));
   sockaddr_in remote{};
   remote.sin_family = AF_INET;
-  remote.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
+  remote.sin_port =
+      htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &remote.sin_addr);
-  if (connect(opened, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) != 0) {
+  if (connect(opened, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) !=
+      0) {
     close(opened);
     return -1;
   }
@@ -140,7 +149,8 @@
     const std::size_t end = data.find("\r\n\r\n");
     if (end != std::string::npos) {
       const std::string head = data.substr(0, end + 4);
-      const auto length = static_cast<std::size_t>(std::atol(Field(head, "Content-Length").c_str()));
+      const auto length = static_cast<std::size_t>(
+          std::atol(Field(head, "Content-Length").c_str()));
       if (data.size() >= end + 4 + length) {
         return {head, data.substr(end + 4), ""};
       }
@@ -158,7 +168,8 @@
 }
 
 bool Write(int socket, const std::string& text) {
-  return send(socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  return send(socket, text.data(), text.size(), MSG_NOSIGNAL) ==
+         static_cast<ssize_t>(text.size());
 }
 
 void ServeConnection(int socket, const std::string& id, double work) {
@@ -178,7 +189,8 @@
       more = "Server-Seal: sealed\r\n";
     }
     const std::string body = "ran " + attempt;
-    if (!Write(socket, "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt + "\r\n" + more + "Content-Length: " +
+    if (!Write(socket, "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt +
+                           "\r\n" + more + "Content-Length: " +
                            std::to_string(body.size()) + "\r\n\r\n" + body)) {
       break;
     }
@@ -203,7 +215,8 @@
       if (socket >= 0) {
         const int on = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        std::thread(ServeConnection, socket, "t" + std::to_string(port), work).detach();
+        std::thread(ServeConnection, socket, "t" + std::to_string(port), work)
+            .detach();
       }
     }
   }).detach();
@@ -214,7 +227,9 @@
 class Client {
  public:
   Client(const Settings& settings, int number)
-      : m_settings(settings), m_number(number), m_random(static_cast<unsigned>(number) + 1) {}
+      : m_settings(settings),
+        m_number(number),
+        m_random(static_cast<unsigned>(number) + 1) {}
 
   void Run() {
     Sleep(m_settings.pause * std::uniform_real_distribution<>(0, 1)(m_random));
@@ -243,14 +258,17 @@
       return false;
     }
     SetTimeout(socket, SO_RCVTIMEO, kLookupTimeoutSeconds);
-    Write(socket, "GET /kumquatcove/resolve?name=" + m_settings.host + "&region=" + m_settings.region + "&zone=" +
-                      m_settings.zone + " HTTP/1.1\r\nHost: " + directory + "\r\nConnection: close\r\n\r\n");
+    Write(socket, "GET /kumquatcove/resolve?name=" + m_settings.host +
+                      "&region=" + m_settings.region + "&zone=" +
+                      m_settings.zone + " HTTP/1.1\r\nHost: " + directory +
+                      "\r\nConnection: close\r\n\r\n");
     const Message answer = Read(socket);
     close(socket);
     const std::size_t begin = answer.body.find('[');
     const std::size_t end = answer.body.find(']');
     const std::size_t ttl = answer.body.find("\"ttl-s\":");
-    if (answer.head.find(" 200 ") == std::string::npos || begin == std::string::npos || end == std::string::npos ||
+    if (answer.head.find(" 200 ") == std::string::npos ||
+        begin == std::string::npos || end == std::string::npos ||
         ttl == std::string::npos || end == begin + 1) {
       return false;
     }
@@ -260,7 +278,8 @@
     }
     const double keep = m_number % kLongKeepers == 0 ? 3 : 1;
     m_until = Now() + std::atof(answer.body.c_str() + ttl + 8) * keep;
-    if (std::find(m_addresses.begin(), m_addresses.end(), m_address) == m_addresses.end()) {
+    if (std::find(m_addresses.begin(), m_addresses.end(), m_address) ==
+        m_addresses.end()) {
       Drop();
     }
     return true;
@@ -276,34 +295,41 @@
   /** Sends one order and returns the time until the next one. */
   double Order() {
     if (m_socket < 0) {
-      m_address = m_addresses[std::uniform_int_distribution<std::size_t>(0, m_addresses.size() - 1)(m_random)];
+      m_address = m_addresses[std::uniform_int_distribution<std::size_t>(
+          0, m_addresses.size() - 1)(m_random)];
       m_socket = Connect(m_address);
       if (m_socket < 0) {
         return kFailurePauseSeconds;
       }
     }
-    const std::string attempt = std::to_string(m_number) + "-" + std::to_string(++m_count);
+    const std::string attempt =
+        std::to_string(m_number) + "-" + std::to_string(++m_count);
     SetTimeout(m_socket, SO_RCVTIMEO, m_settings.deadline_ms / 1e3 + 1);
     Note(attempt, [&](Entry& entry) {
       entry.instance = m_address;
       entry.sent = Now();
     });
     const std::string body(kBodyBytes, 'x');
-    Write(m_socket, "POST /order/" + std::to_string(m_number) + " HTTP/1.1\r\nHost: " + m_settings.host +
-                        "\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: " + std::to_string(m_settings.deadline_ms) +
-                        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    Write(m_socket, "POST /order/" + std::to_string(m_number) +
+                        " HTTP/1.1\r\nHost: " + m_settings.host +
+                        "\r\nAttempt-Id: " + attempt + "\r\nDeadline-Ms: " +
+                        std::to_string(m_settings.deadline_ms) +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\n\r\n" + body);
     const Message answer = Read(m_socket);
     std::string how = answer.failure;
     double pause = kFailurePauseSeconds;
     if (how.empty()) {
       how = answer.head.substr(9, 3);
-      pause = std::max(m_settings.pause, std::atof(Field(answer.head, "Retry-After").c_str()));
+      pause = std::max(m_settings.pause,
+                       std::atof(Field(answer.head, "Retry-After").c_str()));
     }
     Note(attempt, [&](Entry& entry) {
       entry.ended = Now();
       entry.how = how;
     });
-    if (!answer.failure.empty() || Field(answer.head, "Connection") == "close") {
+    if (!answer.failure.empty() ||
+        Field(answer.head, "Connection") == "close") {
       Drop();
     }
     return pause;
@@ -323,12 +349,19 @@
 
 int main(int argc, char** argv) {
   if (argc != 10) {
-    std::cerr << "usage: orders CLIENTS TARGETS WORK_MS DEADLINE_MS PAUSE_MS DIRECTORIES ZONE REGION HOST\n";
+    std::cerr << "usage: orders CLIENTS TARGETS WORK_MS DEADLINE_MS PAUSE_MS "
+                 "DIRECTORIES ZONE REGION HOST\n";
     return 2;
   }
-  Settings settings{std::atoi(argv[1]),       std::atoi(argv[2]),  std::atof(argv[3]) / 1e3,
-                    std::atoi(argv[4]),       std::atof(argv[5]) / 1e3, Split(argv[6], ','),
-                    argv[7],                  argv[8],             argv[9]};
+  Settings settings{std::atoi(argv[1]),
+                    std::atoi(argv[2]),
+                    std::atof(argv[3]) / 1e3,
+                    std::atoi(argv[4]),
+                    std::atof(argv[5]) / 1e3,
+                    Split(argv[6], ','),
+                    argv[7],
+                    argv[8],
+                    argv[9]};
   std::cout << "targets";
   for (int i = 0; i < settings.targets; ++i) {
     std::cout << ' ' << OpenTarget(settings.work);
@@ -347,7 +380,8 @@
   }
   const std::lock_guard lock(log_mutex);
   for (const auto& [attempt, entry] : entries) {
-    std::printf("%s %s %.4f %.4f %s %.4f %.4f\n", attempt.c_str(), entry.instance.c_str(), entry.sent, entry.ended,
+    std::printf("%s %s %.4f %.4f %s %.4f %.4f\n", attempt.c_str(),
+                entry.instance.c_str(), entry.sent, entry.ended,
                 entry.how.c_str(), entry.run_began, entry.run_ended);
   }
   std::fflush(stdout);
