Log what is in flight at each stage of a planned stop

The logs didn't tell what a stopping process still had to do when it closed its intake or ended, so that the hypotheses of docs/incidents/planned-stop.md could not be told apart. New: intake_closed and instance_stopped with the requests that are pending and those that an upstream may be executing; intake_stopped of each server and connections_at_exit with open connections and unanswered requests; second_signal with the latter. No decision changes.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -316,6 +316,7 @@
   if (stopping >= open_time && m_intake != CallerIntake::kClosed) {
     m_intake = CallerIntake::kClosed;
     ApplyCallerLimits();
+    RecordStopStage("intake_closed", stopping);
     // Requests that were read before this effect may not have arrived here yet.
     m_closed = m_context.Now();
     return;
@@ -325,11 +326,16 @@
                     m_context.Now() >= m_closed + kIntakeDelay;
   if (done || stopping >= grace - kKillMargin) {
     m_exited = true;
-    m_context.Record(
-        "instance_stopped", m_context.Self().instance.Text(),
-        {{"pending", std::to_string(m_dispatcher.PendingCount())}});
+    RecordStopStage("instance_stopped", stopping);
     m_context.Emit(Exit{});
   }
 }
 
+void DispatchReducer::RecordStopStage(const char* event, Duration stopping) {
+  m_context.Record(event, m_context.Self().instance.Text(),
+                   {{"pending", std::to_string(m_dispatcher.PendingCount())},
+                    {"sent", std::to_string(m_dispatcher.SentCount())},
+                    {"stopping_us", std::to_string(stopping.count())}});
+}
+
 }  // namespace kumquatcove
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -66,6 +66,8 @@
   void BroadcastSuspicions();
   void ShareLoad();
   void ExitWhenDone();
+  /** Records what is in flight, `stopping` after the stop was requested. */
+  void RecordStopStage(const char* event, Duration stopping);
 
   Context m_context;
   DispatchSettings m_settings;
--- a/src/dispatch/pending_requests.cc
+++ b/src/dispatch/pending_requests.cc
@@ -1,5 +1,7 @@
 #include "dispatch/pending_requests.h"
 
+#include <algorithm>
+
 namespace kumquatcove {
 
 DispatchRequest* PendingRequests::Find(RequestId id) {
@@ -21,6 +23,13 @@
   return ids;
 }
 
+std::size_t PendingRequests::CountSent() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_requests.begin(), m_requests.end(), [](const auto& entry) {
+        return entry.second.active && entry.second.active->sent;
+      }));
+}
+
 std::vector<RequestId> PendingRequests::ListIdempotentAt(
     const UpstreamId& upstream) const {
   std::vector<RequestId> ids;
--- a/src/dispatch/pending_requests.h
+++ b/src/dispatch/pending_requests.h
@@ -46,6 +46,8 @@
   std::vector<RequestId> ListIdempotentAt(const UpstreamId& upstream) const;
 
   std::size_t Count() const { return m_requests.size(); }
+  /** Returns the number of requests that were sent and have no answer yet. */
+  std::size_t CountSent() const;
 
  private:
   std::map<RequestId, DispatchRequest> m_requests;
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -114,6 +114,8 @@
   std::vector<Suspicion> TakeSuspicions() { return m_crashes.TakeChanges(); }
 
   std::size_t PendingCount() const { return m_requests.Count(); }
+  /** Returns how many of them an upstream may be executing. */
+  std::size_t SentCount() const { return m_requests.CountSent(); }
 
  private:
   // Admission.
--- a/src/runtime/caller_api.h
+++ b/src/runtime/caller_api.h
@@ -43,6 +43,9 @@
   HttpAnswer OnMalformed(std::int32_t status,
                          std::string_view problem) override;
 
+  /** Returns the number of requests and lookups without an answer. */
+  std::size_t PendingCount() const { return m_pending.size(); }
+
   /** Executes an effect of the reducer; unknown requests are ignored. */
   void Execute(AnswerCaller answer);
   void Execute(const AnswerLookup& answer);
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -215,27 +215,30 @@
   }
 
   void WaitForSignal() {
-    m_signals.async_wait(
-        [this](const boost::system::error_code& error, int signal) {
-          if (error) {
-            return;
-          }
-          if (signal == SIGHUP) {
-            LogInfo(LogLine("reload_requested"));
-            if (m_reload) {
-              m_reload(*m_actor, /*signalled=*/true);
-            }
-            WaitForSignal();
-            return;
-          }
-          if (std::exchange(m_stop_requested, true)) {
-            LogError(LogLine("second_signal").Add("signal", signal));
-            std::_Exit(kSecondSignalStatus);
-          }
-          LogInfo(LogLine("stop_requested").Add("signal", signal));
-          m_actor->Post(StopRequested{});
-          WaitForSignal();
-        });
+    m_signals.async_wait([this](const boost::system::error_code& error,
+                                int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        LogInfo(LogLine("reload_requested"));
+        if (m_reload) {
+          m_reload(*m_actor, /*signalled=*/true);
+        }
+        WaitForSignal();
+        return;
+      }
+      if (std::exchange(m_stop_requested, true)) {
+        LogError(LogLine("second_signal")
+                     .Add("signal", signal)
+                     .Add("unanswered",
+                          static_cast<std::int64_t>(m_callers.PendingCount())));
+        std::_Exit(kSecondSignalStatus);
+      }
+      LogInfo(LogLine("stop_requested").Add("signal", signal));
+      m_actor->Post(StopRequested{});
+      WaitForSignal();
+    });
   }
 
   void Execute(const SetCallerLimits& effect) {
@@ -256,8 +259,16 @@
     if (std::exchange(m_exiting, true)) {
       return;
     }
-    m_io.PostAfter(kExitGrace + m_delays.ToCaller(),
-                   [this] { m_exit.set_value(EXIT_SUCCESS); });
+    m_io.PostAfter(kExitGrace + m_delays.ToCaller(), [this] { EndRun(); });
+  }
+
+  void EndRun() {
+    LogInfo(LogLine("connections_at_exit")
+                .Add("callers", static_cast<std::int64_t>(
+                                    m_caller_server.OpenConnections()))
+                .Add("unanswered",
+                     static_cast<std::int64_t>(m_callers.PendingCount())));
+    m_exit.set_value(EXIT_SUCCESS);
   }
 
   LinkDelays m_delays;
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -23,6 +23,7 @@
 #include "runtime/beast_message.h"
 #include "runtime/byte_budget.h"
 #include "runtime/http_fields.h"
+#include "runtime/log_line.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -376,6 +377,7 @@
       m_acceptor.set_option(asio::socket_base::reuse_address(true));
       m_acceptor.bind(endpoint);
       m_acceptor.listen();
+      m_port = m_acceptor.local_endpoint().port();
     } catch (const std::exception& error) {
       throw std::runtime_error("can't listen at " + address + ": " +
                                error.what());
@@ -408,6 +410,12 @@
     m_state->stopped = true;
     error_code ignored;
     m_acceptor.close(ignored);
+    LogInfo(
+        LogLine("intake_stopped")
+            .Add("port", m_port)
+            .Add("connections", static_cast<std::int64_t>(m_state->connections))
+            .Add("unanswered",
+                 static_cast<std::int64_t>(m_state->waiting.size())));
     const auto sessions = m_state->sessions;
     for (const auto& [address, session] : sessions) {
       if (const std::shared_ptr<Session> open = session.lock()) {
@@ -427,7 +435,9 @@
 
   std::size_t AcceptedConnections() const { return m_state->accepted; }
 
-  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  std::size_t OpenConnections() const { return m_state->connections; }
+
+  std::uint16_t Port() const { return m_port; }
 
  private:
   void OnAccepted(const error_code& error, asio::ip::tcp::socket socket) {
@@ -462,6 +472,7 @@
   }
 
   asio::ip::tcp::acceptor m_acceptor;
+  std::uint16_t m_port = 0;
   asio::steady_timer m_pause;
   std::shared_ptr<ServerState> m_state;
 };
@@ -501,6 +512,10 @@
   return m_implementation->AcceptedConnections();
 }
 
+std::size_t RequestServer::OpenConnections() const {
+  return m_implementation->OpenConnections();
+}
+
 std::uint16_t RequestServer::Port() const {
   return m_implementation->Port();
 }
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -66,6 +66,9 @@
   /** Returns the number of connections accepted so far. */
   std::size_t AcceptedConnections() const;
 
+  /** Returns the number of connections that are open now. */
+  std::size_t OpenConnections() const;
+
   /** Returns the bound port. */
   std::uint16_t Port() const;
 
