A stopping instance accepts no request that its end would cut off

What callers saw: requests that an instance had read and passed on ended with a closed connection beside a SIGTERM, most of all orders, which have the longest work and deadlines.

Requests that waited in a queue were passed on just as late.

Change: StopSchedule derives all times of a stop from its begin and from grace_s. While callers may hold lookup answers that name the instance, a request is accepted if twice its expected time is left; after that only if its whole time, up to deadline or timeout, lies before the end of work. What is refused gets did-not-run at once. Requests without an answer at the end of work get one (did-not-run if they weren't sent, else unknown) instead of a closed connection.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -12,20 +12,8 @@
 // its machine was suspended.
 constexpr Duration kPauseThreshold = Seconds(1);
 
-// Callers repeat the lookup after this time. Some cache an answer three times
-// as long, which must pass between the end of readiness and the exit.
-constexpr Duration kLookupTimeToLive = Milliseconds(1000);
-constexpr int kLookupKeepFactor = 3;
-// Allows for heartbeats and lookups in transit when this instance starts to
-// leave.
-constexpr Duration kLeavingMargin = Milliseconds(700);
-// Share of the time until SIGKILL in which requests are accepted; the rest is
-// for finishing them.
-constexpr double kMaxOpenShare = 0.65;
 // Time for events of the transport to reach the reducer.
 constexpr Duration kIntakeDelay = Milliseconds(50);
-// Time before SIGKILL at which the process exits even with requests in flight.
-constexpr Duration kKillMargin = Milliseconds(300);
 
 // Memory bounds what an instance may buffer, since bodies are read whole; the
 // platform's limit on bodies may be higher.
@@ -272,6 +260,8 @@
   m_stop_requested = m_context.Now();
   m_context.Record("stop_requested", m_context.Self().instance.Text(),
                    {{"pending", std::to_string(m_dispatcher.PendingCount())}});
+  m_stop_schedule.emplace(m_context.Now(), FromSeconds(m_settings.grace_s));
+  m_dispatcher.BeginStop(m_context, *m_stop_schedule);
   m_presence.SetPhase(m_context, InstancePhase::kLeaving);
   m_intake = CallerIntake::kClosing;
   UpdatePhase();
@@ -305,26 +295,24 @@
 }
 
 void DispatchReducer::ExitWhenDone() {
-  if (!m_stop_requested || m_exited) {
+  if (!m_stop_schedule || m_exited) {
     return;
   }
-  const Duration stopping = m_context.Now() - *m_stop_requested;
-  const Duration grace = FromSeconds(m_settings.grace_s);
-  const Duration open_time =
-      std::min(kLookupTimeToLive * kLookupKeepFactor + kLeavingMargin,
-               std::chrono::duration_cast<Duration>(grace * kMaxOpenShare));
-  if (stopping >= open_time && m_intake != CallerIntake::kClosed) {
+  const MonotonicTime now = m_context.Now();
+  const Duration stopping = now - *m_stop_requested;
+  if (now >= m_stop_schedule->IntakeEnd() &&
+      m_intake != CallerIntake::kClosed) {
     m_intake = CallerIntake::kClosed;
     ApplyCallerLimits();
     RecordStopStage("intake_closed", stopping);
     // Requests that were read before this effect may not have arrived here yet.
-    m_closed = m_context.Now();
+    m_closed = now;
     return;
   }
   const bool done = m_intake == CallerIntake::kClosed &&
                     m_dispatcher.PendingCount() == 0 &&
-                    m_context.Now() >= m_closed + kIntakeDelay;
-  if (done || stopping >= grace - kKillMargin) {
+                    now >= m_closed + kIntakeDelay;
+  if (done || now >= m_stop_schedule->ExitEnd()) {
     m_exited = true;
     RecordStopStage("instance_stopped", stopping);
     m_context.Emit(Exit{});
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -8,6 +8,7 @@
 
 #include "base/clock_reading.h"
 #include "dispatch/request_dispatcher.h"
+#include "dispatch/stop_schedule.h"
 #include "protocol/context.h"
 #include "protocol/effect.h"
 #include "protocol/event.h"
@@ -76,6 +77,7 @@
   RequestDispatcher m_dispatcher;
   MonotonicTime m_last_event;
   std::optional<MonotonicTime> m_stop_requested;
+  std::optional<StopSchedule> m_stop_schedule;
   CallerIntake m_intake = CallerIntake::kOpen;
   MonotonicTime m_closed;
   bool m_ready = false;
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -431,6 +431,48 @@
   CHECK(world.exited);
 }
 
+TEST_CASE("A stopping instance accepts no request that its end could cut off") {
+  SmallWorld world;
+  world.codec.timeout = Seconds(5);
+  world.table.Put("operator/config", "6 a.example /order/ despacho n");
+  world.AdvanceTime(Milliseconds(100));
+  world.Handle(StopRequested{});
+  world.AdvanceTime(Milliseconds(2'500));
+  world.Request("/order/1", Seconds(5));
+  REQUIRE(world.sends.size() == 1);
+  world.AdvanceTime(Milliseconds(600));
+  const RequestId too_long = world.Request("/order/2", Seconds(5));
+  REQUIRE(world.answers.contains(too_long));
+  CHECK(world.AnswerOf(too_long).outcome == Outcome::kDidNotRun);
+  CHECK(world.AnswerOf(too_long).reason == RefusalReason::kLeaving);
+  CHECK(world.sends.size() == 1);
+  world.Request("/order/3", Milliseconds(1'500));
+  CHECK(world.sends.size() == 2);
+}
+
+TEST_CASE("Every request has an answer before a stopping instance exits") {
+  SmallWorld world;
+  world.codec.timeout = Seconds(60);
+  world.table.Put("operator/config", "6 a.example /order/ despacho n");
+  world.AdvanceTime(Milliseconds(100));
+  std::vector<RequestId> requests;
+  while (world.sends.size() == requests.size()) {
+    requests.push_back(world.Request("/order/7", Seconds(60)));
+  }
+  const RequestId waiting = requests.back();
+  requests.pop_back();
+  world.Handle(StopRequested{});
+  world.AdvanceTime(Seconds(6));
+  REQUIRE(world.exited);
+  REQUIRE(world.answers.contains(waiting));
+  CHECK(world.AnswerOf(waiting).outcome == Outcome::kDidNotRun);
+  CHECK(world.AnswerOf(waiting).reason == RefusalReason::kLeaving);
+  for (const RequestId sent : requests) {
+    REQUIRE(world.answers.contains(sent));
+    CHECK(world.AnswerOf(sent).outcome == Outcome::kUnknown);
+  }
+}
+
 TEST_CASE("A lookup returns this instance while it serves") {
   SmallWorld world;
   LookupArrived event;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -71,6 +71,17 @@
   m_resends.SetSettings(settings);
 }
 
+void RequestDispatcher::BeginStop(Context& context,
+                                  const StopSchedule& schedule) {
+  m_stop = schedule;
+  for (const RequestId id : m_requests.List()) {
+    DispatchRequest& request = *m_requests.Find(id);
+    request.deadline = std::min(request.deadline, schedule.WorkEnd());
+  }
+  // Waiting requests that can't be finished any more are refused at once.
+  OnTick(context);
+}
+
 void RequestDispatcher::OnUpstreamRegistered(
     Context& context,
     const UpstreamRegistration& registration) {
@@ -139,6 +150,13 @@
   }
   const Route& route = *request.route;
   request.deadline = std::min(request.deadline, context.Now() + route.timeout);
+  if (m_stop) {
+    if (!m_stop->IsAdmissible(context.Now(), request.deadline)) {
+      Refuse(context, request, RefusalReason::kLeaving, kMinRetryAfter);
+      return;
+    }
+    request.deadline = std::min(request.deadline, m_stop->WorkEnd());
+  }
   request.service = m_splitter.Next(route);
   request.content_hash = StableHash(
       {event.http.host, event.http.method, event.http.target, event.http.body});
@@ -284,7 +302,7 @@
   if (!choice) {
     return false;
   }
-  if (choice->has_room) {
+  if (choice->has_room && !IsBeyondStop(*choice, context.Now())) {
     m_queues[request.service].Remove(request.id);
     Start(context, request, *choice);
     return true;
@@ -299,15 +317,23 @@
 
 bool RequestDispatcher::IsTooLate(const DispatchRequest& request,
                                   const PlacementChoice& choice,
-                                  MonotonicTime now) {
-  return choice.rate_exceeded || now + choice.completion > request.deadline;
+                                  MonotonicTime now) const {
+  return choice.rate_exceeded || now + choice.completion > request.deadline ||
+         IsBeyondStop(choice, now);
+}
+
+bool RequestDispatcher::IsBeyondStop(const PlacementChoice& choice,
+                                     MonotonicTime now) const {
+  return m_stop && !m_stop->MayBegin(now, choice.completion);
 }
 
 void RequestDispatcher::RefuseForLackOfRoom(Context& context,
                                             DispatchRequest& request,
                                             const PlacementChoice& choice) {
   request.considered = choice;
-  Refuse(context, request, RefusalReason::kQueueFull,
+  Refuse(context, request,
+         IsBeyondStop(choice, context.Now()) ? RefusalReason::kLeaving
+                                             : RefusalReason::kQueueFull,
          std::clamp(choice.completion, kMinRetryAfter, kMaxRetryAfter));
 }
 
@@ -659,7 +685,10 @@
   const Duration work =
       m_times.Expect(request.service, CachePrediction::kHit) / 2;
   if (now + std::max(kMinSendTime, work) >= request.deadline) {
-    Refuse(context, request, RefusalReason::kDeadlineExpired, kMinRetryAfter);
+    const bool stopping = m_stop && request.deadline == m_stop->WorkEnd();
+    Refuse(context, request,
+           stopping ? RefusalReason::kLeaving : RefusalReason::kDeadlineExpired,
+           kMinRetryAfter);
     return;
   }
   if (request.active) {
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -19,6 +19,7 @@
 #include "dispatch/service_splitter.h"
 #include "dispatch/service_times.h"
 #include "dispatch/shared_load.h"
+#include "dispatch/stop_schedule.h"
 #include "dispatch/upstream_connections.h"
 #include "dispatch/upstream_rate_limiter.h"
 #include "dispatch/upstream_table.h"
@@ -63,6 +64,10 @@
   /** Refuses requests until there is a configuration. */
   void SetReady(bool ready) { m_ready = ready; }
 
+  /** From now on refuses what can't be finished before the end of work; called
+   * once. */
+  void BeginStop(Context& context, const StopSchedule& schedule);
+
   void OnUpstreamRegistered(Context& context,
                             const UpstreamRegistration& registration);
   void OnUpstreamGone(Context& context, const UpstreamId& id);
@@ -141,9 +146,12 @@
    * refuses the request if it would miss its deadline. */
   bool TryStart(Context& context, DispatchRequest& request);
   /** Returns whether waiting for the chosen upstream isn't worthwhile. */
-  static bool IsTooLate(const DispatchRequest& request,
-                        const PlacementChoice& choice,
-                        MonotonicTime now);
+  bool IsTooLate(const DispatchRequest& request,
+                 const PlacementChoice& choice,
+                 MonotonicTime now) const;
+  /** Returns whether this instance stops before the choice could be finished
+   * with certainty enough to begin it. */
+  bool IsBeyondStop(const PlacementChoice& choice, MonotonicTime now) const;
   void RefuseForLackOfRoom(Context& context,
                            DispatchRequest& request,
                            const PlacementChoice& choice);
@@ -196,6 +204,8 @@
   std::shared_ptr<const RouteTable> m_routes;
   InstanceCounts m_counts;
   bool m_ready = false;
+  /** Set from the begin of a planned stop on. */
+  std::optional<StopSchedule> m_stop;
   UpstreamTable m_upstreams;
   ServiceTimes m_times;
   HitProbabilityEstimator m_hit_probabilities;
