A request that has arrived as an instance stops reading is answered

Cause: StopReading closed every socket that waited for or read a request. A read that had completed, but whose handler was still queued, then passed its request on with nobody left to answer; connections that the kernel had accepted were reset with the listener. The decision was taken from a state that the queue of the event loop had already left.

Change: the read is cancelled instead of the socket closed, and only the read's own result decides: nothing has arrived, then the connection ends; otherwise the request is read to its end, handed over and answered. Connections that are queued at the listener are accepted before it closes.

--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -1,5 +1,6 @@
 #include "runtime/request_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <optional>
@@ -52,6 +53,9 @@
 /** Value of Retry-After in seconds for a request refused for lack of memory,
  * since sending a large body takes about this long. */
 constexpr std::string_view kBodyRetryAfter = "1";
+/** Time for the first request of a connection that was accepted as the server
+ * stopped, and for the rest of a header. */
+constexpr Duration kLastReadTime = Milliseconds(500);
 /** Maximum time for discarding the rest of a refused request. */
 constexpr std::chrono::seconds kDiscardTime(2);
 
@@ -92,7 +96,7 @@
   std::shared_ptr<ByteBudget> body_budget;
   /** If set, connections are closed after their next answer. */
   bool closing = false;
-  /** If set, no further request is read. */
+  /** If set, only requests of which a part has arrived are read. */
   bool stopped = false;
   /** All sessions, keyed by object address. */
   std::unordered_map<Session*, std::weak_ptr<Session>> sessions;
@@ -120,29 +124,21 @@
   Session& operator=(const Session&) = delete;
 
   void ReadRequest() {
-    if (m_state->stopped) {
-      CloseSocket();
-      return;
-    }
     m_state->sessions[this] = weak_from_this();
-    m_reading = true;
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_state->limits.max_header_bytes));
     m_parser->body_limit(m_state->limits.max_body_bytes);
     m_buffer.max_size(m_state->limits.max_header_bytes + kReadAheadBytes);
-    m_stream.expires_after(m_state->limits.idle);
-    http::async_read_header(
-        m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnHeader(error);
-        });
+    ReadHeader();
   }
 
-  /** Closes the connection unless a request is in progress. */
+  /** Closes the connection unless a part of a request has arrived. Only the
+   * read itself knows that, so it is cancelled rather than the socket closed:
+   * a read that has completed already still delivers its request. */
   void StopReading() {
-    if (m_reading) {
-      CloseSocket();
+    if (m_awaits_header) {
+      m_stream.cancel();
     }
   }
 
@@ -163,7 +159,26 @@
   }
 
  private:
+  void ReadHeader() {
+    m_awaits_header = true;
+    m_stream.expires_after(m_state->stopped
+                               ? std::min(m_state->limits.idle, kLastReadTime)
+                               : m_state->limits.idle);
+    http::async_read_header(
+        m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          self->OnHeader(error);
+        });
+  }
+
   void OnHeader(const error_code& error) {
+    m_awaits_header = false;
+    if (error == asio::error::operation_aborted && m_state->stopped) {
+      if (HasInput()) {
+        ReadHeader();
+      }
+      return;
+    }
     if (error) {
       OnReadError(error);
       return;
@@ -206,9 +221,15 @@
         });
   }
 
+  /** Returns whether a part of the next request has arrived. */
+  bool HasInput() {
+    error_code ignored;
+    return m_parser->got_some() || m_buffer.size() > 0 ||
+           m_stream.socket().available(ignored) > 0;
+  }
+
   /** Refuses a request whose body exceeds the available body memory. */
   void RefuseBody() {
-    m_reading = false;
     m_reserved.Release();
     HttpAnswer answer = m_state->handler->OnMalformed(
         kServiceUnavailable, "too many large bodies in progress");
@@ -216,13 +237,7 @@
     Write(std::move(answer), false);
   }
 
-  void CloseSocket() {
-    error_code ignored;
-    m_stream.socket().close(ignored);
-  }
-
   void OnReadError(const error_code& error) {
-    m_reading = false;
     m_reserved.Release();
     if (IsParseError(error)) {
       Write(m_state->handler->OnMalformed(StatusOfParseError(error),
@@ -236,7 +251,6 @@
       OnReadError(error);
       return;
     }
-    m_reading = false;
     m_stream.expires_never();
     const BeastRequest& message = m_parser->get();
     ServedRequest request;
@@ -341,8 +355,8 @@
   ByteReservation m_reserved;
   /** Number of the unanswered exchange, or 0. */
   std::uint64_t m_exchange = 0;
-  /** Whether the session is waiting for or reading a request. */
-  bool m_reading = false;
+  /** Whether the header of a request is being awaited or read. */
+  bool m_awaits_header = false;
   /** Incremented to invalidate a pending wait for readable data. */
   std::uint64_t m_generation = 0;
 };
@@ -408,6 +422,8 @@
 
   void StopReading() {
     m_state->stopped = true;
+    m_state->closing = true;
+    AcceptQueued();
     error_code ignored;
     m_acceptor.close(ignored);
     LogInfo(
@@ -440,6 +456,20 @@
   std::uint16_t Port() const { return m_port; }
 
  private:
+  /** Accepts the connections that the kernel has established: closing the
+   * acceptor would reset them, with the requests that they carry. */
+  void AcceptQueued() {
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+      asio::ip::tcp::socket socket(m_acceptor.get_executor());
+      m_acceptor.accept(socket, error);
+      if (!error) {
+        Serve(std::move(socket));
+      }
+    }
+  }
+
   void OnAccepted(const error_code& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) {
       return;
@@ -454,11 +484,17 @@
           });
       return;
     }
+    Serve(std::move(socket));
+    if (m_acceptor.is_open()) {
+      Accept();
+    }
+  }
+
+  void Serve(asio::ip::tcp::socket socket) {
     const std::size_t excess_limit =
         m_state->limits.max_connections + kMaxRefusedConnections;
     const bool full = m_state->connections >= m_state->limits.max_connections;
     if (m_state->connections >= excess_limit) {
-      Accept();
       return;
     }
     ++m_state->accepted;
@@ -468,7 +504,6 @@
     } else {
       session->ReadRequest();
     }
-    Accept();
   }
 
   asio::ip::tcp::acceptor m_acceptor;
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -58,9 +58,9 @@
   /** From now on, closes each connection after its next answer. */
   void CloseAfterAnswers();
 
-  /** Stops accepting connections and reading requests, and closes connections
-   * without a request in progress. Requests that were already read are still
-   * answered. */
+  /** Stops accepting connections and closes those on which no part of a request
+   * has arrived. Every other request is still read, passed to the handler and
+   * answered, and its connection closed after the answer. */
   void StopReading();
 
   /** Returns the number of connections accepted so far. */
--- a/src/runtime/request_server_test.cc
+++ b/src/runtime/request_server_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <thread>
+
 #include "base/random.h"
 #include "runtime/test_support.h"
 
@@ -164,6 +167,47 @@
   CHECK(server.handler.disconnected.Values().empty());
 }
 
+TEST_CASE(
+    "A request that has arrived as the server stops reading is answered") {
+  ScriptedServer server(Echo);
+  RawClient kept(server.server.Port());
+  kept.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+  kept.ReadUntil("GET /first ");
+  std::optional<RawClient> queued;
+  // While this function blocks, the requests arrive; the server's thread reads
+  // the first one between it and the stop, but doesn't handle it yet.
+  server.Run([&] {
+    kept.Send("GET /read HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    server.Post([&] {
+      queued.emplace(server.server.Port());
+      queued->Send("GET /queued HTTP/1.1\r\nHost: h\r\n\r\n");
+      server.server.StopReading();
+    });
+  });
+  CHECK(kept.ReadUntil("GET /read ").find("GET /read ") != std::string::npos);
+  CHECK(kept.ReadToEnd());
+  server.Run([] {});
+  CHECK(HasStatus(queued->ReadUntil("GET /queued "), 200));
+  CHECK(queued->ReadToEnd());
+}
+
+TEST_CASE("A request that is still arriving as the server stops is answered") {
+  ScriptedServer server(Echo);
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  RawClient in_header(server.server.Port());
+  RawClient in_body(server.server.Port());
+  in_header.Send(head.substr(0, 20));
+  in_body.Send(head + "2\r\nab\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  server.Run([&] { server.server.StopReading(); });
+  in_header.Send(head.substr(20) + "2\r\nab\r\n0\r\n\r\n");
+  in_body.Send("2\r\ncd\r\n0\r\n\r\n");
+  CHECK(HasStatus(in_header.ReadUntil("POST /a ab"), 200));
+  CHECK(HasStatus(in_body.ReadUntil("POST /a abcd"), 200));
+}
+
 // Guards against a caller that uses up the memory with a line without end: the
 // parser bounds headers and bodies, but not what it can't parse yet.
 TEST_CASE("A chunked body with a line without end is refused") {
--- a/src/runtime/test_support.h
+++ b/src/runtime/test_support.h
@@ -136,6 +136,9 @@
     done.get_future().wait();
   }
 
+  /** Runs `work` on the server's thread some time later. */
+  void Post(std::function<void()> work) { m_io.Post(std::move(work)); }
+
  private:
   IoThread m_io;
 
