A stopping process exits only when its answers are read

Cause: the reducer's Exit ended the process 200 ms later. The reducer counts requests without an answer, not answers that are still being written.

Change: Exit carries a limit. The daemon stops all its servers and ends when no connection of callers, lookups or operators is left, or at the limit, which follows from the stop's schedule.

Result: the new test (12 MB, the caller begins to read after 500 ms) fails with the exit after 200 ms and passes now.

--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <shared_mutex>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -24,14 +25,15 @@
 #include "runtime/readiness_api.h"
 #include "runtime/request_server.h"
 #include "runtime/store_client.h"
+#include "runtime/system_clock.h"
 #include "runtime/upstream_client.h"
 
 namespace kumquatcove {
 
 namespace {
 
-/** Time allowed for writing the last answers before the process exits. */
-constexpr Duration kExitGrace = Milliseconds(200);
+/** Poll interval for the connections that an exit waits for. */
+constexpr Duration kExitCheckInterval = Milliseconds(10);
 constexpr Duration kMetricsInterval = Seconds(1);
 /** Poll interval for the settings file, since the platform may change it
  * without sending a signal. */
@@ -148,7 +150,7 @@
         {&m_callers, &m_operators, &m_upstreams, &m_store, &*m_peers,
          [this](const SetReadiness& effect) { m_readiness.Execute(effect); },
          [this](const SetCallerLimits& effect) { Execute(effect); },
-         [this] { OnExit(); }});
+         [this](const Exit& effect) { Execute(effect); }});
     m_actor.emplace(std::move(reduce), m_dispatcher);
     m_actor->Post(Started{});
     if (settings.seeds) {
@@ -255,22 +257,46 @@
     }
   }
 
-  void OnExit() {
+  void Execute(const Exit& effect) {
     if (std::exchange(m_exiting, true)) {
       return;
     }
-    m_io.PostAfter(kExitGrace + m_delays.ToCaller(), [this] { EndRun(); });
+    for (RequestServer* server : ListServers()) {
+      server->StopReading();
+    }
+    ExitWhenWritten(ReadSystemClock().monotonic + effect.limit);
   }
 
-  void EndRun() {
+  /** Ends the run once no connection is left, or at `limit`. Answers may be in
+   * the kernel or on slow links long after the reducer has given them. */
+  void ExitWhenWritten(MonotonicTime limit) {
+    std::size_t connections = 0;
+    for (const RequestServer* server : ListServers()) {
+      connections += server->OpenConnections();
+    }
+    if (connections > 0 && ReadSystemClock().monotonic < limit) {
+      m_io.PostAfter(kExitCheckInterval,
+                     [this, limit] { ExitWhenWritten(limit); });
+      return;
+    }
     LogInfo(LogLine("connections_at_exit")
-                .Add("callers", static_cast<std::int64_t>(
-                                    m_caller_server.OpenConnections()))
+                .Add("connections", static_cast<std::int64_t>(connections))
                 .Add("unanswered",
                      static_cast<std::int64_t>(m_callers.PendingCount())));
     m_exit.set_value(EXIT_SUCCESS);
   }
 
+  /** Returns the servers whose clients an exit must not cut off. Readiness
+   * checks are repeated, so their server isn't among them. */
+  std::vector<RequestServer*> ListServers() {
+    std::vector<RequestServer*> servers = {&m_caller_server,
+                                           &m_operator_server};
+    if (m_lookup_server) {
+      servers.push_back(&*m_lookup_server);
+    }
+    return servers;
+  }
+
   LinkDelays m_delays;
   Metrics m_metrics;
   DetachableEventSink m_events;
--- a/src/runtime/daemon_test.cc
+++ b/src/runtime/daemon_test.cc
@@ -38,6 +38,8 @@
 
   std::atomic<bool> exit = false;
   std::atomic<bool> answers = true;
+  /** Set before the first request. */
+  std::string body = "body";
   mutable Recorder<Event> seen;
 
  private:
@@ -50,7 +52,7 @@
     if (!answers) {
       return {};
     }
-    CallerAnswer ran{Outcome::kRan, RefusalReason::kNone, {201, {}, "body"}};
+    CallerAnswer ran{Outcome::kRan, RefusalReason::kNone, {201, {}, body}};
     CallerAnswer late{Outcome::kUnknown, RefusalReason::kNone, {}};
     if (event.http.method != "GET") {
       ran = {Outcome::kDidNotRun, RefusalReason::kKeyReused, {}};
@@ -260,6 +262,23 @@
   CHECK(get("/operator", "}").rfind("HTTP/1.1 404", 0) == 0);
 }
 
+TEST_CASE("An exit waits until a slow caller has read its answer") {
+  std::optional<DaemonFixture> daemon(std::in_place);
+  daemon->reducer.body = std::string(12U << 20U, 'x') + "end";
+  RawClient client(daemon->caller_port);
+  client.Send("GET /vitrina/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(daemon->reducer.seen.WaitForCount(3));
+  std::string read;
+  std::thread reader([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    client.ReadToEnd();
+    read = client.ReadUntil("end");
+  });
+  daemon.reset();
+  reader.join();
+  CHECK(read.ends_with("end"));
+}
+
 TEST_CASE("Random input on both ports does not stop the daemon") {
   DaemonFixture daemon;
   const std::string valid = Command(kToken, R"({"status":{}})");
--- a/src/runtime/effect_dispatcher.cc
+++ b/src/runtime/effect_dispatcher.cc
@@ -57,7 +57,7 @@
       m_adapters.set_caller_limits(effect);
     }
   }
-  void operator()(Exit& /*effect*/) const { m_adapters.exit(); }
+  void operator()(Exit& effect) const { m_adapters.exit(effect); }
 
  private:
   const Adapters& m_adapters;
--- a/src/runtime/effect_dispatcher.h
+++ b/src/runtime/effect_dispatcher.h
@@ -25,8 +25,8 @@
    * effects. */
   std::function<void(const SetReadiness&)> set_readiness;
   std::function<void(const SetCallerLimits&)> set_caller_limits;
-  /** Called on the IoThread after the effect Exit. */
-  std::function<void()> exit;
+  /** Called on the IoThread. */
+  std::function<void(const Exit&)> exit;
 };
 
 /**
