A further SIGTERM does not end a stopping process

What callers saw: overlapping series of stops sent a second SIGTERM to instances that were stopping; everything in flight was cut off at that moment, requests of all kinds that upstreams were executing among them.

Cause: any second signal ended the process with status 130, which was meant for an operator at a terminal. A platform or an operator's tool may repeat SIGTERM; its own end is SIGKILL.

Change: a further SIGTERM is logged and changes nothing; SIGINT during a stop still ends the process at once.

On the code before, the new test's process ends with status 130.

--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -38,7 +38,7 @@
 /** Poll interval for the settings file, since the platform may change it
  * without sending a signal. */
 constexpr Duration kSettingsInterval = Seconds(1);
-constexpr int kSecondSignalStatus = 130;
+constexpr int kInterruptedStatus = 130;
 /** Margin added to the idle timeout that callers use, so that the server does
  * not close a connection that a caller is about to reuse. */
 constexpr Duration kIdleMargin = Seconds(2);
@@ -230,12 +230,18 @@
         WaitForSignal();
         return;
       }
+      if (m_stop_requested && signal != SIGINT) {
+        // A stop has its own end; the platform's is SIGKILL.
+        LogWarning(LogLine("stop_already_requested").Add("signal", signal));
+        WaitForSignal();
+        return;
+      }
       if (std::exchange(m_stop_requested, true)) {
         LogError(LogLine("second_signal")
                      .Add("signal", signal)
                      .Add("unanswered",
                           static_cast<std::int64_t>(m_callers.PendingCount())));
-        std::_Exit(kSecondSignalStatus);
+        std::_Exit(kInterruptedStatus);
       }
       LogInfo(LogLine("stop_requested").Add("signal", signal));
       m_actor->Post(StopRequested{});
--- a/src/runtime/daemon_test.cc
+++ b/src/runtime/daemon_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 #include <boost/json/serialize.hpp>
@@ -279,6 +281,22 @@
   CHECK(read.ends_with("end"));
 }
 
+TEST_CASE("A second SIGTERM does not cut a stop short") {
+  DaemonFixture daemon;
+  REQUIRE(daemon.reducer.seen.WaitForCount(2));
+  std::raise(SIGTERM);
+  REQUIRE(daemon.reducer.seen.WaitForCount(3));
+  std::raise(SIGTERM);
+  std::raise(SIGHUP);
+  const std::string answer = DaemonFixture::Exchange(
+      daemon.caller_port, "GET /vitrina/1 HTTP/1.1\r\nHost: h\r\n\r\n", "body");
+  CHECK(answer.starts_with("HTTP/1.1 201"));
+  const std::vector<Event> events = daemon.reducer.seen.Values();
+  CHECK(std::count_if(events.begin(), events.end(), [](const Event& event) {
+          return std::holds_alternative<StopRequested>(event);
+        }) == 1);
+}
+
 TEST_CASE("Random input on both ports does not stop the daemon") {
   DaemonFixture daemon;
   const std::string valid = Command(kToken, R"({"status":{}})");
