The time of a stop runs from the begin of a freeze before it

Cause: the stop's time ran from the moment at which the process saw the signal, after it was thawed.

Change: a stop that is seen right after a gap between events of 0.1 s or more is taken to have begun with the gap, at most 1 s earlier.

Result: the new test fails on the code before (no exit 6 s after the signal) and passes now.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -12,6 +12,12 @@
 // its machine was suspended.
 constexpr Duration kPauseThreshold = Seconds(1);
 
+// A longer gap between events means that the process didn't run. A stop that is
+// requested right after it may have been requested during it.
+constexpr Duration kStallThreshold = Milliseconds(100);
+// Longest time by which a stop is taken to have begun earlier than it was seen.
+constexpr Duration kMaxSignalDelay = Seconds(1);
+
 // Time for events of the transport to reach the reducer.
 constexpr Duration kIntakeDelay = Milliseconds(50);
 
@@ -131,6 +137,10 @@
   if (!std::holds_alternative<Started>(event)) {
     DetectPause();
   }
+  if (m_context.Now() - m_last_event >= kStallThreshold) {
+    m_stall_begin = m_last_event;
+    m_stall_end = m_context.Now();
+  }
   m_last_event = m_context.Now();
   std::visit(EventVisitor{*this}, event);
   ApplyChanges();
@@ -257,10 +267,10 @@
   if (m_stop_requested) {
     return;
   }
-  m_stop_requested = m_context.Now();
+  m_stop_requested = FindStopBegin();
   m_context.Record("stop_requested", m_context.Self().instance.Text(),
                    {{"pending", std::to_string(m_dispatcher.PendingCount())}});
-  m_stop_schedule.emplace(m_context.Now(), FromSeconds(m_settings.grace_s));
+  m_stop_schedule.emplace(*m_stop_requested, FromSeconds(m_settings.grace_s));
   m_dispatcher.BeginStop(m_context, *m_stop_schedule);
   m_presence.SetPhase(m_context, InstancePhase::kLeaving);
   m_intake = CallerIntake::kClosing;
@@ -268,6 +278,12 @@
   ApplyCallerLimits();
 }
 
+MonotonicTime DispatchReducer::FindStopBegin() const {
+  const MonotonicTime now = m_context.Now();
+  const bool after_stall = now - m_stall_end < kStallThreshold;
+  return after_stall ? std::max(m_stall_begin, now - kMaxSignalDelay) : now;
+}
+
 void DispatchReducer::ShareLoad() {
   // Finding the receivers is skipped unless a digest may be due.
   if (!m_dispatcher.IsDigestDue(1, m_context.Now())) {
--- a/src/dispatch/dispatch_reducer.h
+++ b/src/dispatch/dispatch_reducer.h
@@ -66,6 +66,9 @@
   void ApplyCallerLimits();
   void BroadcastSuspicions();
   void ShareLoad();
+  /** Returns the earliest time at which the stop that is seen now may have been
+   * requested. */
+  MonotonicTime FindStopBegin() const;
   void ExitWhenDone();
   /** Records what is in flight, `stopping` after the stop was requested. */
   void RecordStopStage(const char* event, Duration stopping);
@@ -76,6 +79,9 @@
   EntryPresence m_presence;
   RequestDispatcher m_dispatcher;
   MonotonicTime m_last_event;
+  /** Last gap between events in which the process didn't run. */
+  MonotonicTime m_stall_begin;
+  MonotonicTime m_stall_end;
   std::optional<MonotonicTime> m_stop_requested;
   std::optional<StopSchedule> m_stop_schedule;
   CallerIntake m_intake = CallerIntake::kOpen;
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -473,6 +473,19 @@
   }
 }
 
+TEST_CASE("The time of a stop runs from the begin of a freeze before it") {
+  SmallWorld world;
+  world.codec.timeout = Seconds(60);
+  world.table.Put("operator/config", "6 a.example /order/ despacho n");
+  world.AdvanceTime(Milliseconds(100));
+  world.Request("/order/7", Seconds(60));
+  world.Suspend(Milliseconds(600));
+  world.Handle(Tick{});
+  world.Handle(StopRequested{});
+  world.AdvanceTime(Milliseconds(5'390));
+  CHECK(world.exited);
+}
+
 TEST_CASE("A lookup returns this instance while it serves") {
   SmallWorld world;
   LookupArrived event;
