Reset connections whose request is given up

Cause: HttpConnection closed its socket in order, by Close, by the timer of the stream or by the end of the process. The kernel then goes on sending what was written, for as long as the network or the upstream is stalled.

Change: SO_LINGER with 0 is set when a connection opens, and taken back only to close one without an unanswered request. Setting it in Close would miss the timer, a killed process and std::_Exit. A connection whose request is answered before it is written is reset too. The calls of the store and the probes use the same class.

Idle connections still end in order.

--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -99,6 +99,7 @@
     m_request = ToBeast(std::move(request), host);
     m_stream.expires_after(timeout);
     m_writing = true;
+    m_has_request = true;
     // A server may answer and close before it has read the whole request, so a
     // write error is ignored; only the read shows whether the exchange failed.
     http::async_write(
@@ -117,6 +118,9 @@
     m_answered = nullptr;
     m_idle_lost = nullptr;
     error_code ignored;
+    if (!m_has_request) {
+      SetResetOnClose(false);
+    }
     m_stream.socket().close(ignored);
   }
 
@@ -129,6 +133,13 @@
   void EnableKeepAlive() { m_keep_alive = true; }
 
  private:
+  /** Sets whether closing the socket resets the connection, so that the kernel
+   * discards the bytes that the server hasn't received. */
+  void SetResetOnClose(bool reset) {
+    error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+  }
+
   void SetKeepAlive() {
     using Seconds = std::chrono::seconds;
     constexpr int kProbeInterval = 1;
@@ -164,6 +175,9 @@
     } else {
       error_code ignored;
       m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      // Set in advance, since a timer or the end of the process may close the
+      // socket as well.
+      SetResetOnClose(true);
       if (m_keep_alive) {
         SetKeepAlive();
       }
@@ -254,6 +268,8 @@
       return;
     }
     m_reserved.Release();
+    // The rest of a request that was answered early must not follow.
+    m_has_request = m_writing;
     const AnsweredCallback callback = std::exchange(m_answered, nullptr);
     if (result.keep_alive) {
       BecomeIdle();
@@ -304,6 +320,8 @@
   BelongsFunction m_belongs;
   bool m_is_head = false;
   bool m_writing = false;
+  /** Whether closing the connection gives up a request. */
+  bool m_has_request = false;
   /** Answers skipped since the request was sent. */
   int m_skipped = 0;
   bool m_has_stray_answers = false;
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -78,7 +78,10 @@
    * while it is idle. */
   void SetIdleLostCallback(LostCallback callback);
 
-  /** Closes the connection; no callback is called afterwards. */
+  /** Closes the connection; no callback is called afterwards. A request that
+   * isn't answered is given up: the connection is reset, so that bytes which
+   * the kernel still holds don't reach the server later. The same holds if the
+   * connection times out or the process ends. */
   void Close();
 
   bool IsIdle() const;
--- a/src/runtime/upstream_client_test.cc
+++ b/src/runtime/upstream_client_test.cc
@@ -1,11 +1,14 @@
 #include "runtime/upstream_client.h"
 
 #include <array>
+#include <future>
+#include <memory>
 #include <thread>
 
 #include <doctest/doctest.h>
 
 #include "runtime/http_fields.h"
+#include "runtime/stalled_server.h"
 #include "runtime/system_clock.h"
 #include "runtime/test_support.h"
 
@@ -217,4 +220,40 @@
   CHECK(lost->unwritten);
 }
 
+// Guards against stale sends (EVAC): a request that was written during a cut
+// and given up was delivered after it, seconds after its caller's answer.
+TEST_CASE("A request that was given up isn't delivered later") {
+  StalledServer upstream;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  IoThread io;
+  auto client = std::make_unique<UpstreamClient>(io, events, delays,
+                                                 MakeNativeDialect().upstreams);
+  io.Start();
+  io.Post([&] {
+    client->Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  upstream.Accept();
+  SendUpstream effect;
+  effect.connection = kConnection;
+  effect.send_before = ReadSystemClock().monotonic + Seconds(5);
+  effect.http.method = "POST";
+  effect.http.target = "/";
+  effect.http.body = std::string(StalledServer::kHeldBytes, 'b');
+  io.Post([&] { client->Send(effect); });
+  SUBCASE("closed by the reducer") {
+    io.Post([&] { client->Close(kConnection); });
+  }
+  SUBCASE("the instance stops") {}
+  std::promise<void> executed;
+  io.Post([&] { executed.set_value(); });
+  executed.get_future().wait();
+  io.Stop();
+  client.reset();
+  const ReceivedBytes received = upstream.ReadToEnd();
+  CHECK(received.end == ConnectionEnd::kReset);
+  CHECK(received.count < StalledServer::kHeldBytes);
+}
+
 }  // namespace kumquatcove
