Reset peer links that are closed while messages are unanswered

Found by reading, and shown by the test: a request that was relayed over a stalled link could reach the other instance after its sender had given it up. A relay's time starts when it arrives, and its cancellation may have come before it on a new link.

Cause: PeerLink::Disconnect closed the session in order, so that the kernel still delivered messages which were counted as dropped.

Change: with outstanding messages the socket gets SO_LINGER with 0 first. A process that stops closes its links in order as before, since answers of relayed requests use them too.

Test: before the change a relayed request of 48 KiB arrived whole (49,568 bytes) after its link was closed for silence, and the link ended in order; now the link ends with a reset and less than the body arrives.

--- a/src/runtime/peer_link.cc
+++ b/src/runtime/peer_link.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <optional>
 #include <utility>
@@ -203,6 +204,9 @@
     DropQueue();
     m_connect_after = m_timer.now() + ToKj(m_settings.reconnect_delay);
   }
+  if (m_outstanding > 0) {
+    ResetOnClose();
+  }
   m_counters.dropped += m_outstanding;
   m_tasks = kj::heap<kj::TaskSet>(*this);
   m_session = nullptr;
@@ -211,6 +215,13 @@
   m_broken = false;
 }
 
+void PeerLink::ResetOnClose() {
+  linger reset{};
+  reset.l_onoff = 1;
+  reset.l_linger = 0;
+  m_session->stream->setsockopt(SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 void PeerLink::DropQueue() {
   m_counters.dropped += m_queue.size();
   m_queue.clear();
--- a/src/runtime/peer_link.h
+++ b/src/runtime/peer_link.h
@@ -62,6 +62,9 @@
   void SendQueued();
   void Deliver(const QueuedMessage& message);
   void Disconnect();
+  /** Makes closing the session discard the messages that the kernel still
+   * holds, since their senders give them up. Precondition: there is one. */
+  void ResetOnClose();
   void DropQueue();
 
   const PeerTransportSettings& m_settings;
--- a/src/runtime/peer_transport_test.cc
+++ b/src/runtime/peer_transport_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "base/random.h"
+#include "runtime/stalled_server.h"
 #include "runtime/test_support.h"
 
 namespace kumquatcove {
@@ -119,6 +120,26 @@
   CHECK(transport.Counters().sent <= 10);
 }
 
+// Guards against relayed requests that arrive late: the link was closed in
+// order, so that the kernel delivered what its peer had not received, after the
+// sender had given up those requests.
+TEST_CASE(
+    "What a stalled link holds isn't delivered after the link was closed") {
+  StalledServer stalled;
+  RecordingReceiver receiver;
+  PeerTransportSettings settings = MakeSettings("a");
+  settings.silence = Milliseconds(100);
+  PeerTransport transport(settings, receiver);
+  RelayRequest relay;
+  relay.http.body = std::string(StalledServer::kHeldBytes, 'b');
+  transport.Send({InstanceId("b"), stalled.Address(), {}, relay});
+  stalled.Accept();
+  REQUIRE(WaitFor([&] { return transport.Counters().links_silent >= 1; }));
+  const ReceivedBytes received = stalled.ReadToEnd();
+  CHECK(received.end == ConnectionEnd::kReset);
+  CHECK(received.count < StalledServer::kHeldBytes);
+}
+
 TEST_CASE(
     "Messages to an address without a listener are dropped, and the "
     "queue to a peer is bounded") {
