Don't send a request again whose caller has left

Found by reading, and shown by the test: a non-idempotent request in flight whose caller had left was sent to another upstream when its connection turned out to be closed and the request unwritten.

Cause: OnConnectionLost queues an unwritten request again without looking at its caller. OnCallerGone lets such a request finish only because it may already run.

Change: an unwritten request without a caller ends there.

Test: before the change the upstreams got 2 sends, now 1, and the request ends as not run.

--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -102,6 +102,21 @@
   CHECK(world.AnswerOf(request).outcome == Outcome::kRan);
 }
 
+// Guards against a stale send: the caller of a request in flight left, and when
+// its connection turned out to be closed the request was sent to another
+// upstream.
+TEST_CASE("A request of which no byte was written ends if its caller is gone") {
+  SmallWorld world;
+  const RequestId request = world.Request("/order/7");
+  world.Handle(CallerGone{request});
+  CHECK_FALSE(world.answers.contains(request));
+  world.Handle(ConnectionLost{world.sends.at(0).connection, true});
+  CHECK(world.sends.size() == 1);
+  CHECK(world.AnswerOf(request).outcome == Outcome::kDidNotRun);
+  world.AdvanceTime(Seconds(1));
+  CHECK(world.sends.size() == 1);
+}
+
 TEST_CASE(
     "An idempotent request is sent again after an error, within its limit") {
   SmallWorld world;
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -405,7 +405,12 @@
   } else if (event.unwritten) {
     --request->sends;
     EndSend(context, *request, SendResult::kAbandoned);
-    Enqueue(context, *request);
+    if (request->abandoned) {
+      Refuse(context, *request, RefusalReason::kDeadlineExpired,
+             Duration::zero());
+    } else {
+      Enqueue(context, *request);
+    }
   } else {
     OnBroken(context, *request);
   }
