Don't write a request to a connection that has become readable

Found by reading, and shown by the test: a request on a kept connection that its upstream had already closed ended as possibly run (502) instead of being sent elsewhere. With an unsolicited answer in the socket, that answer was taken for the request's.

Cause: SendNow went by the state of HttpConnection, which learns of the end of a connection, or of unsolicited bytes, only when the IoThread gets to that event; the sends queued before it are executed first.

Change: SendNow asks the kernel right before the write. A connection that has ended or holds unread bytes is reported as lost, with the request unwritten.

Test: with the IoThread busy while the upstream closes the connection, the loss was reported as written before the change, now as unwritten; with an answer that arrives in that time, the answer was accepted before, now the connection is lost. An answer that arrives after the write can still only be told by its attempt.

--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -130,6 +130,14 @@
 
   bool IsIdle() const { return m_state == ConnectionState::kIdle; }
 
+  bool IsUsable() {
+    char byte = 0;
+    return IsIdle() &&
+           ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte),
+                  MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
   void EnableKeepAlive() { m_keep_alive = true; }
 
  private:
@@ -377,4 +385,8 @@
   return m_implementation->IsIdle();
 }
 
+bool HttpConnection::IsUsable() const {
+  return m_implementation->IsUsable();
+}
+
 }  // namespace kumquatcove
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -86,6 +86,10 @@
 
   bool IsIdle() const;
 
+  /** Returns whether the connection is idle and the kernel has received neither
+   * its end nor unsolicited bytes, of which IsIdle learns later. */
+  bool IsUsable() const;
+
  private:
   class Implementation;
   std::shared_ptr<Implementation> m_implementation;
--- a/src/runtime/upstream_client.cc
+++ b/src/runtime/upstream_client.cc
@@ -144,7 +144,7 @@
     return;
   }
   Connection& connection = found->second;
-  if (!connection.http->IsIdle()) {
+  if (!connection.http->IsUsable()) {
     ReportLost(id);
     return;
   }
--- a/src/runtime/upstream_client_test.cc
+++ b/src/runtime/upstream_client_test.cc
@@ -256,4 +256,46 @@
   CHECK(received.count < StalledServer::kHeldBytes);
 }
 
+// Guards against requests that are written although the upstream has already
+// closed the connection, whose callers can't be told that they have not run,
+// and against an unsolicited answer that is taken for the next one (MIXED).
+TEST_CASE("A request isn't written if its connection has become readable") {
+  StalledServer upstream;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  IoThread io;
+  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
+  io.Start();
+  io.Post([&] {
+    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  upstream.Accept();
+  SendUpstream effect;
+  effect.connection = kConnection;
+  effect.send_before = ReadSystemClock().monotonic + Seconds(60);
+  effect.http.method = "POST";
+  effect.http.target = "/";
+  // The send is executed before the IoThread notices the change.
+  std::promise<void> busy;
+  std::promise<void> changed;
+  io.Post([&] {
+    busy.set_value();
+    changed.get_future().wait();
+    client.Send(effect);
+  });
+  busy.get_future().wait();
+  SUBCASE("the upstream has closed it") {
+    upstream.Close();
+  }
+  SUBCASE("the upstream has sent an answer") {
+    upstream.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  changed.set_value();
+  const auto lost = events.Get<ConnectionLost>(1);
+  io.Stop();
+  REQUIRE(lost.has_value());
+  CHECK(lost->unwritten);
+}
+
 }  // namespace kumquatcove
