--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -78,11 +78,18 @@
    * while it is idle. */
   void SetIdleLostCallback(LostCallback callback);
 
-  /** Closes the connection; no callback is called afterwards. */
+  /** Closes the connection; no callback is called afterwards. A request that
+   * isn't answered is given up: the connection is reset, so that bytes which
+   * the kernel still holds don't reach the server later. The same holds if the
+   * connection times out or the process ends. */
   void Close();
 
   bool IsIdle() const;
 
+  /** Returns whether the connection is idle and the kernel has received neither
+   * its end nor unsolicited bytes, of which IsIdle learns later. */
+  bool IsUsable() const;
+
  private:
   class Implementation;
   std::shared_ptr<Implementation> m_implementation;
--- a/src/runtime/upstream_client_test.cc
+++ b/src/runtime/upstream_client_test.cc
@@ -1,11 +1,14 @@
 #include "runtime/upstream_client.h"
 
 #include <array>
+#include <future>
+#include <memory>
 #include <thread>
 
 #include <doctest/doctest.h>
 
 #include "runtime/http_fields.h"
+#include "runtime/stalled_server.h"
 #include "runtime/system_clock.h"
 #include "runtime/test_support.h"
 
@@ -217,4 +220,82 @@
   CHECK(lost->unwritten);
 }
 
+// Guards against stale sends (EVAC): a request that was written during a cut
+// and given up was delivered after it, seconds after its caller's answer.
+TEST_CASE("A request that was given up isn't delivered later") {
+  StalledServer upstream;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  IoThread io;
+  auto client = std::make_unique<UpstreamClient>(io, events, delays,
+                                                 MakeNativeDialect().upstreams);
+  io.Start();
+  io.Post([&] {
+    client->Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  upstream.Accept();
+  SendUpstream effect;
+  effect.connection = kConnection;
+  effect.send_before = ReadSystemClock().monotonic + Seconds(5);
+  effect.http.method = "POST";
+  effect.http.target = "/";
+  effect.http.body = std::string(StalledServer::kHeldBytes, 'b');
+  io.Post([&] { client->Send(effect); });
+  SUBCASE("closed by the reducer") {
+    io.Post([&] { client->Close(kConnection); });
+  }
+  SUBCASE("the instance stops") {}
+  std::promise<void> executed;
+  io.Post([&] { executed.set_value(); });
+  executed.get_future().wait();
+  io.Stop();
+  client.reset();
+  const ReceivedBytes received = upstream.ReadToEnd();
+  CHECK(received.end == ConnectionEnd::kReset);
+  CHECK(received.count < StalledServer::kHeldBytes);
+}
+
+// Guards against requests that are written although the upstream has already
+// closed the connection, whose callers can't be told that they have not run,
+// and against an unsolicited answer that is taken for the next one (MIXED).
+TEST_CASE("A request isn't written if its connection has become readable") {
+  StalledServer upstream;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  IoThread io;
+  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
+  io.Start();
+  io.Post([&] {
+    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  upstream.Accept();
+  SendUpstream effect;
+  effect.connection = kConnection;
+  effect.send_before = ReadSystemClock().monotonic + Seconds(60);
+  effect.http.method = "POST";
+  effect.http.target = "/";
+  // The send is executed before the IoThread notices the change.
+  std::promise<void> busy;
+  std::promise<void> changed;
+  io.Post([&] {
+    busy.set_value();
+    changed.get_future().wait();
+    client.Send(effect);
+  });
+  busy.get_future().wait();
+  SUBCASE("the upstream has closed it") {
+    upstream.Close();
+  }
+  SUBCASE("the upstream has sent an answer") {
+    upstream.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  changed.set_value();
+  const auto lost = events.Get<ConnectionLost>(1);
+  io.Stop();
+  REQUIRE(lost.has_value());
+  CHECK(lost->unwritten);
+}
+
 }  // namespace kumquatcove
