Peer transport: send queued messages before it ends

Callers saw: requests whose relay had been answered by a stopping instance ended as "unknown" (peer-unreachable) at the instance that had relayed them, or idempotent ones were run a second time, if the answer was still queued when the process exited.

Cause: the destructor sets a flag that makes the transport's thread return before it looks at its inbox. Messages in the inbox, in the queues of links and on connections that were being opened were dropped.

Change: the thread delivers the inbox, then waits until the peers have acknowledged all messages, for at most flush_limit (300 ms). What is left is logged as peer_messages_not_sent.

A peer that doesn't respond delays the end by the limit only.

--- a/src/runtime/peer_link.h
+++ b/src/runtime/peer_link.h
@@ -51,6 +51,11 @@
   /** Marks the link as broken; called by the task set when a task fails. */
   void taskFailed(kj::Exception&& exception) override;
 
+  /** Returns the number of messages that are queued or not acknowledged yet. */
+  std::size_t UnacknowledgedMessages() const {
+    return m_queue.size() + m_outstanding;
+  }
+
   /** Returns whether the link has been idle for more than a minute. */
   bool IsUnused() const;
 
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -32,6 +32,7 @@
 constexpr std::size_t kMaxInbox = 1U << 16U;
 constexpr kj::Duration kCheckInterval = 20 * kj::MILLISECONDS;
 constexpr kj::Duration kAcceptPause = 50 * kj::MILLISECONDS;
+constexpr kj::Duration kFlushInterval = 2 * kj::MILLISECONDS;
 constexpr int kLogEvery = 100;
 
 capnp::ReaderOptions ReceiveLimits() {
@@ -219,14 +220,16 @@
     [[maybe_unused]] const auto written = ::write(m_wake, &one, sizeof(one));
   }
 
-  /** Handles wakeups until the transport stops. */
+  /** Handles wakeups until the transport stops and has sent its messages. */
   kj::Promise<void> HandleWakeups(Loop& loop) {
     return loop.wake
         ->tryRead(&loop.wake_buffer, sizeof(std::uint64_t),
                   sizeof(std::uint64_t))
         .then([this, &loop](std::size_t) -> kj::Promise<void> {
           if (DeliverInbox(loop)) {
-            return kj::READY_NOW;
+            return Flush(loop,
+                         loop.io.provider->getTimer().now() +
+                             m_settings.flush_limit.count() * kj::MICROSECONDS);
           }
           return HandleWakeups(loop);
         });
@@ -236,11 +239,10 @@
    * stopping. */
   bool DeliverInbox(Loop& loop) {
     std::deque<SendPeer> inbox;
+    bool stopping = false;
     {
       const std::lock_guard lock(m_mutex);
-      if (m_stopping) {
-        return true;
-      }
+      stopping = m_stopping;
       inbox.swap(m_inbox);
     }
     for (SendPeer& message : inbox) {
@@ -254,7 +256,27 @@
                    std::move(message.message)},
                   bytes});
     }
-    return false;
+    return stopping;
+  }
+
+  /** Waits until the peers have acknowledged all messages, at most until `end`.
+   */
+  kj::Promise<void> Flush(Loop& loop, kj::TimePoint end) {
+    std::size_t unsent = 0;
+    for (const auto& [address, link] : loop.links) {
+      unsent += link->UnacknowledgedMessages();
+    }
+    kj::Timer& timer = loop.io.provider->getTimer();
+    if (unsent == 0 || timer.now() >= end) {
+      if (unsent > 0) {
+        LogWarning(LogLine("peer_messages_not_sent")
+                       .Add("messages", static_cast<std::int64_t>(unsent)));
+      }
+      return kj::READY_NOW;
+    }
+    return timer.afterDelay(kFlushInterval).then([this, &loop, end]() {
+      return Flush(loop, end);
+    });
   }
 
   PeerLink* FindLink(Loop& loop, const std::string& address) {
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -41,6 +41,9 @@
    * for this long. */
   Duration silence{Seconds(1)};
   Duration reconnect_delay{Milliseconds(100)};
+  /** Maximum time for which the destructor waits until queued messages are
+   * acknowledged. Covers a connection setup between distant regions. */
+  Duration flush_limit{Milliseconds(300)};
 };
 
 /** Counters since the start of the transport. */
@@ -73,7 +76,8 @@
    * Throws std::runtime_error if the address cannot be bound.
    */
   PeerTransport(PeerTransportSettings settings, PeerReceiver& receiver);
-  /** Closes all links and joins the thread. */
+  /** Sends the queued messages, for at most `flush_limit`, then closes all
+   * links and joins the thread. */
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/src/runtime/peer_transport_test.cc
+++ b/src/runtime/peer_transport_test.cc
@@ -133,6 +133,44 @@
   CHECK(WaitFor([&] { return transport.Counters().dropped >= 101; }));
 }
 
+TEST_CASE(
+    "Messages that are queued when a transport is destroyed still reach their "
+    "peer") {
+  // An instance that stops answers relays until its end. The peer can't tell a
+  // lost answer from a request that may have run.
+  RecordingReceiver at_b;
+  PeerTransport b(MakeSettings("b"), at_b);
+  constexpr std::size_t kCount = 2000;
+  {
+    RecordingReceiver at_a;
+    PeerTransport a(MakeSettings("a"), at_a);
+    for (std::size_t i = 0; i < kCount; ++i) {
+      a.Send(MakeMessage(b.Port(), static_cast<std::int64_t>(i)));
+    }
+  }
+  CHECK(at_b.WaitForCount(kCount));
+  CHECK(at_b.Values().size() == kCount);
+}
+
+TEST_CASE(
+    "A peer that doesn't respond delays the end of a transport by the flush "
+    "limit only") {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor unresponsive(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  RecordingReceiver receiver;
+  PeerTransportSettings settings = MakeSettings("a");
+  settings.silence = Seconds(60);
+  settings.flush_limit = Milliseconds(200);
+  auto transport = std::make_unique<PeerTransport>(settings, receiver);
+  transport->Send(MakeMessage(unresponsive.local_endpoint().port(), 1));
+  const auto start = std::chrono::steady_clock::now();
+  transport.reset();
+  const auto duration = std::chrono::steady_clock::now() - start;
+  CHECK(duration >= Milliseconds(200));
+  CHECK(duration < Seconds(5));
+}
+
 TEST_CASE("Random input on the peer port does not stop the transport") {
   RecordingReceiver at_a;
   RecordingReceiver at_b;
