Planned stop: count work that begins and ends between two ticks

Callers saw: a resend of a request that a stopping instance had run was answered "unknown" elsewhere, since the instance had exited before the store took the record of the answer.

Cause: the last work of a stop was read from the number of requests at each tick (10 ms). A request that began and ended between two ticks was never seen, and the exit followed at the next tick instead of 1 s after it.

Change: the time of the last work is kept at each event, before and after it.

Measured: tests_test on virtual time. The new test "A request that begins and ends between two ticks..." failed before: the instance had exited within 0.9 s of the request. The test of a pause is a guard; it passed before as well.

--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -181,12 +181,14 @@
   const bool was_paused = m_last_event.time_since_epoch().count() != 0 &&
                           now.monotonic - m_last_event > kMaxEventGap;
   m_last_event = now.monotonic;
+  UpdateLastWork();
   if (was_paused && !std::holds_alternative<Tick>(event)) {
     HandleTick();
     ProcessUntilIdle();
   }
   std::visit(EventVisitor{*this}, event);
   ProcessUntilIdle();
+  UpdateLastWork();
   return std::exchange(m_output, {});
 }
 
@@ -281,6 +283,7 @@
     return;
   }
   m_stop_requested = m_context.Now();
+  m_last_work = m_context.Now();
   m_modules->members.SetPhase(m_context, InstancePhase::kLeaving);
   m_context.Record(
       "stop_requested", m_context.Self().instance.Text(),
@@ -336,9 +339,6 @@
   if (m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin) {
     m_coordinator->RefuseNewRequests();
   }
-  if (m_coordinator->PendingCount() > 0 || !m_last_work) {
-    m_last_work = m_context.Now();
-  }
   if (!m_exited && IsDrained()) {
     m_exited = true;
     m_context.Record("instance_stopped", m_context.Self().instance.Text());
@@ -346,11 +346,20 @@
   }
 }
 
+void NodeReducer::UpdateLastWork() {
+  if (m_stop_requested && HasWork()) {
+    m_last_work = m_context.Now();
+  }
+}
+
+bool NodeReducer::HasWork() const {
+  return m_coordinator->PendingCount() > 0;
+}
+
 bool NodeReducer::IsDrained() const {
   const Duration time_to_live =
       Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
-  return m_coordinator->PendingCount() == 0 &&
-         m_context.Now() - *m_last_work >= kExitDelay &&
+  return !HasWork() && m_context.Now() - m_last_work >= kExitDelay &&
          m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin;
 }
 
--- a/src/node/node_reducer.h
+++ b/src/node/node_reducer.h
@@ -67,6 +67,9 @@
 
   void UpdatePhase();
   void ResetAfterPause();
+  void UpdateLastWork();
+  /** Returns whether a request awaits its answer. */
+  bool HasWork() const;
   bool IsDrained() const;
   StatusReport MakeStatusReport() const;
 
@@ -80,7 +83,8 @@
   MonotonicTime m_last_event;
   MonotonicTime m_next_list_fetch;
   std::optional<MonotonicTime> m_stop_requested;
-  std::optional<MonotonicTime> m_last_work;
+  /** Last event of a stop before or after which HasWork was true. */
+  MonotonicTime m_last_work;
   bool m_was_recovering = false;
   bool m_exited = false;
 };
--- /dev/null
+++ b/src/tests/planned_stop_test.cc
@@ -0,0 +1,91 @@
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include "tests/fake_deployment.h"
+#include "tests/small_catalogue.h"
+
+namespace kumquatcove {
+namespace {
+
+const std::vector<std::string>& Zones() {
+  static const std::vector<std::string> kNames = {"lima-a",     "lima-b",
+                                                  "arequipa-a", "arequipa-b",
+                                                  "trujillo-a", "trujillo-b"};
+  return kNames;
+}
+
+InstanceId InstanceIn(const std::string& zone) {
+  return InstanceId("entry-" + zone);
+}
+
+void StartAll(FakeDeployment& deployment) {
+  for (const std::string& zone : Zones()) {
+    deployment.StartInstance(InstanceIn(zone), ZoneName(zone));
+  }
+  deployment.Run(Seconds(3));
+}
+
+/** Runs until the instance has exited; returns the time it took, or nothing if
+ * it still runs after `limit`. */
+std::optional<Duration> RunUntilExit(FakeDeployment& deployment,
+                                     const InstanceId& instance,
+                                     Duration limit) {
+  const MonotonicTime start = deployment.Now();
+  while (!deployment.HasExited(instance)) {
+    if (deployment.Now() - start >= limit) {
+      return std::nullopt;
+    }
+    deployment.Run(kTickInterval);
+  }
+  return deployment.Now() - start;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "A request that begins and ends between two ticks of a stop delays the "
+    "exit like any other") {
+  // The record of its answer is written after the request has ended. If the
+  // request goes unnoticed, the process exits before the store has replied.
+  FakeDeployment deployment(31, MakeSmallCatalogue(), RegionName("lima"), {});
+  deployment.upstreams.service_time = [](const HttpRequest&) {
+    return Milliseconds(1);
+  };
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  deployment.RequestStop(stopped);
+  deployment.Run(Milliseconds(1'491));
+  REQUIRE(!deployment.HasExited(stopped));
+  const RequestId charge = deployment.Send(stopped, Charge("k1"));
+  deployment.Run(Milliseconds(9));
+  REQUIRE(deployment.Answer(charge) != nullptr);
+  CHECK(deployment.Answer(charge)->answer.outcome == Outcome::kRan);
+  deployment.Run(Milliseconds(900));
+  CHECK(!deployment.HasExited(stopped));
+  deployment.Run(Milliseconds(200));
+  CHECK(deployment.HasExited(stopped));
+}
+
+TEST_CASE(
+    "A stopping instance that was paused doesn't take its last request for one "
+    "that ended long ago") {
+  FakeDeployment deployment(38, MakeSmallCatalogue(), RegionName("lima"), {});
+  deployment.upstreams.service_time = [](const HttpRequest&) {
+    return Milliseconds(300);
+  };
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  deployment.RequestStop(stopped);
+  const RequestId charge = deployment.Send(stopped, Charge("k1"));
+  deployment.Run(Milliseconds(100));
+  deployment.Freeze(stopped);
+  deployment.Run(Seconds(8));
+  deployment.Thaw(stopped);
+  deployment.Run(Milliseconds(500));
+  CHECK(deployment.Answer(charge) != nullptr);
+  CHECK(!deployment.HasExited(stopped));
+  CHECK(RunUntilExit(deployment, stopped, Seconds(6)));
+}
+
+}  // namespace kumquatcove
