Planned stop: exit only after the answers of claims are recorded

Callers saw: after a planned stop beside a short outage of the store, a resend at another instance got "unknown" (owner-unreachable), although the request had run and its first caller had the answer. Released claims stayed claimed.

Cause: the exit followed 1 s after the last answer, whether the store had taken the record or not. After two refusals the breaker alone waits up to 1 s.

Change: ClaimTable::IsRecorded tells whether records and releases are written; the exit waits for it, for at most 5 s after the last request (kRecordLimit), since an outage can be longer than any stop.

Measured: tests_test on virtual time. The new test "An instance exits only after the answers of its claims are recorded..." failed on: the instance had exited and the resend got outcome 2 (unknown) in place of 0 (ran). "A stop during an outage of the store ends within 10 s" guards the limit; it passed before as well.

--- a/src/claims/claim_table.cc
+++ b/src/claims/claim_table.cc
@@ -206,6 +206,14 @@
   Flush(context);
 }
 
+bool ClaimTable::IsRecorded() const {
+  return std::none_of(m_claims.begin(), m_claims.end(), [](const auto& entry) {
+    const ClaimRecord& claim = entry.second;
+    return claim.phase == ClaimPhase::kRecording ||
+           claim.phase == ClaimPhase::kReleasing || claim.IsRestoring();
+  });
+}
+
 std::vector<ClaimVerdict> ClaimTable::TakeVerdicts() {
   return std::exchange(m_verdicts, {});
 }
--- a/src/claims/claim_table.h
+++ b/src/claims/claim_table.h
@@ -128,6 +128,10 @@
   /** Returns the number of claims in memory, for metrics. */
   std::size_t Size() const { return m_claims.size(); }
 
+  /** Returns whether the store has all answers and releases of claims whose
+   * requests have ended, so that other instances can use them. */
+  bool IsRecorded() const;
+
   /** Maximum number of rows in one batch. */
   static constexpr std::size_t kMaxBatchRows = 16;
   /** Maximum number of claims in memory; further requests get kUnavailable. */
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -33,9 +33,14 @@
 constexpr Duration kJoinTime = Milliseconds(800);
 
 // A leaving instance keeps running for this long after its last request, so
-// that the answers of claims are recorded.
+// that peers get its messages.
 constexpr Duration kExitDelay = Seconds(1);
 
+// A leaving instance waits for this long after its last request until the
+// answers of claims are recorded. Exceeds the time after which calls to a store
+// that is back succeed again; longer outages aren't waited for.
+constexpr Duration kRecordLimit = Seconds(5);
+
 }  // namespace
 
 struct NodeReducer::MessageVisitor {
@@ -359,8 +364,10 @@
 bool NodeReducer::IsDrained() const {
   const Duration time_to_live =
       Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
-  return !HasWork() && m_context.Now() - m_last_work >= kExitDelay &&
-         m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin;
+  const Duration since_work = m_context.Now() - m_last_work;
+  return !HasWork() && since_work >= kExitDelay &&
+         m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin &&
+         (since_work >= kRecordLimit || m_modules->claims.IsRecorded());
 }
 
 void NodeReducer::ResetAfterPause() {
--- a/src/tests/planned_stop_test.cc
+++ b/src/tests/planned_stop_test.cc
@@ -26,6 +26,12 @@
   deployment.Run(Seconds(3));
 }
 
+HttpRequest Resend(const std::string& key) {
+  HttpRequest http = Charge(key);
+  http.headers.push_back({"Kumquatcove-Resend", "1"});
+  return http;
+}
+
 /** Runs until the instance has exited; returns the time it took, or nothing if
  * it still runs after `limit`. */
 std::optional<Duration> RunUntilExit(FakeDeployment& deployment,
@@ -88,4 +94,52 @@
   CHECK(RunUntilExit(deployment, stopped, Seconds(6)));
 }
 
+TEST_CASE(
+    "An instance exits only after the answers of its claims are recorded, so "
+    "that resends elsewhere get them") {
+  FakeDeployment deployment(32, MakeSmallCatalogue(), RegionName("lima"), {});
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  deployment.RequestStop(stopped);
+  deployment.Run(Milliseconds(200));
+  deployment.upstreams.service_time = [](const HttpRequest&) {
+    return Milliseconds(1'500);
+  };
+  const RequestId charge = deployment.Send(stopped, Charge("k1"));
+  deployment.Run(Milliseconds(1'000));
+  // The store refuses the record of the answer for longer than the last delay
+  // before the exit.
+  deployment.store.faults.down = true;
+  deployment.Run(Milliseconds(2'000));
+  REQUIRE(deployment.Answer(charge) != nullptr);
+  CHECK(deployment.Answer(charge)->answer.outcome == Outcome::kRan);
+  CHECK(!deployment.HasExited(stopped));
+  deployment.store.faults.down = false;
+  REQUIRE(RunUntilExit(deployment, stopped, Seconds(5)));
+  deployment.Kill(stopped);
+  // The breakers of the other instances close again.
+  deployment.Run(Seconds(5));
+  const RequestId resend =
+      deployment.Send(InstanceIn("trujillo-b"), Resend("k1"));
+  deployment.Run(Seconds(1));
+  REQUIRE(deployment.Answer(resend) != nullptr);
+  CHECK(deployment.Answer(resend)->answer.outcome == Outcome::kRan);
+  CHECK(deployment.Answer(resend)->answer.http.body ==
+        ExpectedBody(Charge("k1")));
+  CHECK(deployment.upstreams.Executions("k1") == 1);
+}
+
+TEST_CASE("A stop during an outage of the store ends within 10 s") {
+  FakeDeployment deployment(33, MakeSmallCatalogue(), RegionName("lima"), {});
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  const RequestId charge = deployment.Send(stopped, Charge("k1"));
+  deployment.Run(Milliseconds(10));
+  deployment.store.faults.down = true;
+  deployment.RequestStop(stopped);
+  CHECK(RunUntilExit(deployment, stopped, Seconds(10)));
+  REQUIRE(deployment.Answer(charge) != nullptr);
+  CHECK(deployment.Answer(charge)->answer.outcome == Outcome::kRan);
+}
+
 }  // namespace kumquatcove
