Planned stop: answer accepted edits before the exit, refuse later ones

Operators saw: an edit that a stopping instance had accepted ended with a closed connection and no answer, committed or not.

Cause: the exit waited for requests of callers only. Edits take up to 8 s (store calls, then confirmation by the other instances), and were accepted until the end of the process.

Change: commands that wait for the store count as work of the stop. Once the instance refuses requests (lookup_ttl_ms + 0.5 s) it refuses such commands too, as unavailable and not executed, so that a series of them can't hold the exit. Status, timeline and the catalogue are still returned.

Measured: tests_test on virtual time. "An instance answers the edits that it has accepted before it exits" failed on: no answer. "Commands that need the store are refused..." failed there: the last edit got conflict (3) and the last history ok (0) in place of unavailable (4).

--- a/src/configuration/configuration_sync.cc
+++ b/src/configuration/configuration_sync.cc
@@ -250,6 +250,14 @@
   }
 }
 
+std::size_t ConfigurationSync::PendingCommands() const {
+  const auto reads =
+      std::count_if(m_calls.begin(), m_calls.end(), [](const auto& entry) {
+        return entry.second.kind == CallKind::kHistory;
+      });
+  return m_sessions.size() + static_cast<std::size_t>(reads);
+}
+
 void ConfigurationSync::Call(Context& context,
                              CallKind kind,
                              StoreOperation operation,
--- a/src/configuration/configuration_sync.h
+++ b/src/configuration/configuration_sync.h
@@ -84,6 +84,9 @@
                          const MemberTable& members,
                          const OperatorCommandArrived& command);
 
+  /** Returns the number of operator commands that aren't answered yet. */
+  std::size_t PendingCommands() const;
+
   /** Returns whether the node has the highest revision that is available to it,
    * so that it may serve. */
   bool IsReady() const { return m_ready; }
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -262,6 +262,10 @@
                  std::get_if<TimelineCommand>(&event.command)) {
     answer.document = boost::json::serialize(
         ToJson(m_modules->timeline.Find(timeline->subject)));
+  } else if (m_refuses_work &&
+             !std::holds_alternative<GetCatalogueCommand>(event.command)) {
+    answer.result = OperatorResult::kUnavailable;
+    answer.message = "not executed: this instance is stopping";
   } else {
     m_modules->configuration.OnOperatorCommand(m_context, m_modules->members,
                                                event);
@@ -342,6 +346,7 @@
   const Duration time_to_live =
       Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
   if (m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin) {
+    m_refuses_work = true;
     m_coordinator->RefuseNewRequests();
   }
   if (!m_exited && IsDrained()) {
@@ -358,15 +363,13 @@
 }
 
 bool NodeReducer::HasWork() const {
-  return m_coordinator->PendingCount() > 0;
+  return m_coordinator->PendingCount() > 0 ||
+         m_modules->configuration.PendingCommands() > 0;
 }
 
 bool NodeReducer::IsDrained() const {
-  const Duration time_to_live =
-      Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
   const Duration since_work = m_context.Now() - m_last_work;
-  return !HasWork() && since_work >= kExitDelay &&
-         m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin &&
+  return m_refuses_work && !HasWork() && since_work >= kExitDelay &&
          (since_work >= kRecordLimit || m_modules->claims.IsRecorded());
 }
 
--- a/src/node/node_reducer.h
+++ b/src/node/node_reducer.h
@@ -68,7 +68,7 @@
   void UpdatePhase();
   void ResetAfterPause();
   void UpdateLastWork();
-  /** Returns whether a request awaits its answer. */
+  /** Returns whether a request or an operator's command awaits its answer. */
   bool HasWork() const;
   bool IsDrained() const;
   StatusReport MakeStatusReport() const;
@@ -86,6 +86,8 @@
   /** Last event of a stop before or after which HasWork was true. */
   MonotonicTime m_last_work;
   bool m_was_recovering = false;
+  /** New work is refused, since the process is about to exit. */
+  bool m_refuses_work = false;
   bool m_exited = false;
 };
 
--- a/src/tests/planned_stop_test.cc
+++ b/src/tests/planned_stop_test.cc
@@ -142,4 +142,53 @@
   CHECK(deployment.Answer(charge)->answer.outcome == Outcome::kRan);
 }
 
+TEST_CASE(
+    "An instance answers the edits that it has accepted before it exits") {
+  // Without an answer the operator can't tell whether the edit is committed.
+  const std::vector<EntryBody> entries = MakeSmallCatalogue();
+  FakeDeployment deployment(34, entries, RegionName("lima"), {});
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  ServiceEntry vitrina = std::get<ServiceEntry>(entries[1]);
+  vitrina.upstreams[0].drained = true;
+  deployment.store.faults.delay = Milliseconds(400);
+  deployment.RequestStop(stopped);
+  deployment.Run(Milliseconds(1'200));
+  const RequestId edit = deployment.Command(
+      stopped, vitrina.owner, ApplyCommand{EditId("edit-1"), {{1, vitrina}}});
+  REQUIRE(RunUntilExit(deployment, stopped, Seconds(12)));
+  REQUIRE(deployment.CommandAnswer(edit) != nullptr);
+  CHECK(deployment.CommandAnswer(edit)->result == OperatorResult::kOk);
+}
+
+TEST_CASE(
+    "Commands that need the store are refused once a stopping instance takes "
+    "no more requests, and don't delay its exit") {
+  const std::vector<EntryBody> entries = MakeSmallCatalogue();
+  FakeDeployment deployment(35, entries, RegionName("lima"), {});
+  StartAll(deployment);
+  const InstanceId stopped = InstanceIn("lima-a");
+  ServiceEntry vitrina = std::get<ServiceEntry>(entries[1]);
+  vitrina.upstreams[0].drained = true;
+  deployment.RequestStop(stopped);
+  RequestId edit;
+  RequestId history;
+  for (int number = 0; number < 80 && !deployment.HasExited(stopped);
+       ++number) {
+    edit = deployment.Command(
+        stopped, vitrina.owner,
+        ApplyCommand{EditId("edit-" + std::to_string(number)), {{1, vitrina}}});
+    history = deployment.Command(stopped, vitrina.owner, HistoryCommand{});
+    deployment.Run(Milliseconds(50));
+  }
+  CHECK(deployment.HasExited(stopped));
+  for (const RequestId last : {edit, history}) {
+    REQUIRE(deployment.CommandAnswer(last) != nullptr);
+    CHECK(deployment.CommandAnswer(last)->result ==
+          OperatorResult::kUnavailable);
+    CHECK(deployment.CommandAnswer(last)->message.find("stopping") !=
+          std::string::npos);
+  }
+}
+
 }  // namespace kumquatcove
