Planned stop: close kept connections after their next answer

Callers saw: on the product's own path a connection that was kept during a planned stop was used until the process ended, so that a request on it could meet the end of the connection instead of an answer.

Cause: NodeReducer never told the server of callers about a stop; only DispatchReducer does.

Change: at the request to stop, NodeReducer emits SetCallerLimits with intake kClosing. The struct's defaults are now the limits that the server has without it (kMaxRequestHeadBytes, kMaxBodyBytes), so the effect changes nothing else.

Measured: the new test "From the beginning of a stop the answers close their connections..." failed on: no such effect.

--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -293,6 +293,9 @@
   }
   m_stop_requested = m_context.Now();
   m_last_work = m_context.Now();
+  SetCallerLimits closing;
+  closing.intake = CallerIntake::kClosing;
+  m_context.Emit(closing);
   m_modules->members.SetPhase(m_context, InstancePhase::kLeaving);
   m_context.Record(
       "stop_requested", m_context.Self().instance.Text(),
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -177,11 +177,12 @@
                     Row{CallerIntake::kClosed, "closed"}};
 }
 
-/** Sets the limits for requests of callers. */
+/** Sets the limits for requests of callers. The defaults are those in force
+ * until the first effect of this kind. */
 struct SetCallerLimits {
   static constexpr std::string_view kName = "set_caller_limits";
-  std::int64_t max_header_bytes = 0;
-  std::int64_t max_body_bytes = 0;
+  std::int64_t max_header_bytes = kMaxRequestHeadBytes;
+  std::int64_t max_body_bytes = kMaxBodyBytes;
   /** Maximum time between two requests on a connection. */
   Duration idle{0};
   CallerIntake intake = CallerIntake::kOpen;
--- a/src/protocol/http_message.h
+++ b/src/protocol/http_message.h
@@ -17,6 +17,10 @@
  * larger ones. */
 inline constexpr std::size_t kMaxBodyBytes = 1U << 20U;
 
+/** Maximum size of the head of a request in bytes, unless the deployment sets
+ * another one. */
+inline constexpr std::size_t kMaxRequestHeadBytes = 16'384;
+
 struct HttpHeader {
   std::string name;
   std::string value;
--- a/src/runtime/request_server.h
+++ b/src/runtime/request_server.h
@@ -13,7 +13,7 @@
 
 /** Resource limits of a server. */
 struct RequestServerLimits {
-  std::size_t max_header_bytes = 16'384;
+  std::size_t max_header_bytes = kMaxRequestHeadBytes;
   std::size_t max_body_bytes = kMaxBodyBytes;
   /** Total body size of all requests in progress, in bytes; requests beyond it
    * are refused. Up to three copies of a body exist, so bodies use at most 120
--- a/src/tests/planned_stop_test.cc
+++ b/src/tests/planned_stop_test.cc
@@ -191,4 +191,26 @@
   }
 }
 
+TEST_CASE(
+    "From the beginning of a stop the answers close their connections, so that "
+    "callers don't use a kept connection until it is cut") {
+  FakeDeployment deployment(36, MakeSmallCatalogue(), RegionName("lima"), {});
+  StartAll(deployment);
+  std::vector<SetCallerLimits> limits;
+  deployment.on_effect = [&](const InstanceId& instance, const Effect& effect) {
+    const auto* found = std::get_if<SetCallerLimits>(&effect);
+    if (found != nullptr && instance == InstanceIn("lima-a")) {
+      limits.push_back(*found);
+    }
+  };
+  deployment.Run(Seconds(1));
+  CHECK(limits.empty());
+  deployment.RequestStop(InstanceIn("lima-a"));
+  REQUIRE(limits.size() == 1);
+  CHECK(limits[0].intake == CallerIntake::kClosing);
+  // The server still accepts what it accepted before.
+  CHECK(limits[0].max_body_bytes == static_cast<std::int64_t>(kMaxBodyBytes));
+  CHECK(limits[0].max_header_bytes == 16'384);
+}
+
 }  // namespace kumquatcove
