--- a/src/tests/fault_schedule.cc
+++ b/src/tests/fault_schedule.cc
@@ -30,6 +30,32 @@
   });
 }
 
+// Waits for the exit of a stopping process, unless it is killed meanwhile, and
+// starts a new one.
+void ReplaceAfterExit(FakeDeployment& deployment,
+                      const std::string& zone,
+                      Duration length) {
+  const InstanceId instance("entry-" + zone);
+  if (deployment.IsRunning(instance) && deployment.HasExited(instance)) {
+    KillAndReplace(deployment, zone, length);
+    return;
+  }
+  deployment.After(kTickInterval, [&deployment, zone, length] {
+    ReplaceAfterExit(deployment, zone, length);
+  });
+}
+
+void StopAndReplace(FakeDeployment& deployment,
+                    const std::string& zone,
+                    Duration length) {
+  const InstanceId instance("entry-" + zone);
+  if (!deployment.IsRunning(instance)) {
+    return;
+  }
+  deployment.RequestStop(instance);
+  ReplaceAfterExit(deployment, zone, length);
+}
+
 void FreezeAndThaw(FakeDeployment& deployment,
                    const std::string& zone,
                    Duration length) {
@@ -61,6 +87,9 @@
     case FaultKind::kKillInstance:
       KillAndReplace(deployment, zone, length);
       return;
+    case FaultKind::kStopInstance:
+      StopAndReplace(deployment, zone, length);
+      return;
     case FaultKind::kFreezeInstance:
       FreezeAndThaw(deployment, zone, length);
       return;
--- a/src/tests/fault_schedule.h
+++ b/src/tests/fault_schedule.h
@@ -18,6 +18,8 @@
 enum class FaultKind {
   kKillInstance,
   kFreezeInstance,
+  /** A planned stop; the fault's length is the time until the next start. */
+  kStopInstance,
   kStoreDown,
   kStoreSilent,
   kStoreSlow,
@@ -35,6 +37,7 @@
   using Row = EnumName<FaultKind>;
   return std::array{Row{FaultKind::kKillInstance, "kill-instance"},
                     Row{FaultKind::kFreezeInstance, "freeze-instance"},
+                    Row{FaultKind::kStopInstance, "stop-instance"},
                     Row{FaultKind::kStoreDown, "store-down"},
                     Row{FaultKind::kStoreSilent, "store-silent"},
                     Row{FaultKind::kStoreSlow, "store-slow"},
--- a/src/tests/planned_stop_test.cc
+++ b/src/tests/planned_stop_test.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <optional>
 
 #include <doctest/doctest.h>
 
 #include "tests/fake_deployment.h"
+#include "tests/fault_schedule.h"
 #include "tests/small_catalogue.h"
 
 namespace kumquatcove {
@@ -213,4 +215,76 @@
   CHECK(limits[0].max_header_bytes == 16'384);
 }
 
+TEST_CASE("A request that arrives after the exit is refused as not run") {
+  // The driver passes on what it had read before the exit.
+  NodeSettings settings;
+  settings.identity.instance = InstanceIn("lima-a");
+  settings.identity.incarnation = 1;
+  NodeReducer reducer(std::move(settings));
+  MonotonicTime now(Seconds(1'000));
+  const auto reduce = [&](const Event& event) {
+    return reducer.Reduce(event,
+                          {now, WallTime{now.time_since_epoch().count()}});
+  };
+  reduce(Started{});
+  reduce(StopRequested{});
+  bool exited = false;
+  for (int tick = 0; tick < 1'000 && !exited; ++tick) {
+    now += kTickInterval;
+    for (const Effect& effect : reduce(Tick{})) {
+      exited = exited || std::holds_alternative<Exit>(effect);
+    }
+  }
+  REQUIRE(exited);
+  int answers = 0;
+  for (const Effect& effect :
+       reduce(RequestArrived{RequestId{1}, Charge("k1")})) {
+    if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+      ++answers;
+      CHECK(answer->answer.outcome == Outcome::kDidNotRun);
+    }
+  }
+  CHECK(answers == 1);
+}
+
+TEST_CASE(
+    "A stop ends in bounded time and leaves no request without an answer, "
+    "under each kind of fault") {
+  // Two seconds until requests are refused, 2 s for the last one, 6 s for the
+  // records, and some time for the deadlines of relays.
+  constexpr Duration kLongestStop = Seconds(12);
+  for (const auto& kind : EnumNames(FaultKind{})) {
+    if (kind.value == FaultKind::kKillInstance ||
+        kind.value == FaultKind::kFreezeInstance) {
+      continue;
+    }
+    CAPTURE(kind.name);
+    FakeDeployment deployment(37, MakeSmallCatalogue(), RegionName("lima"), {});
+    StartAll(deployment);
+    // The target is neither the stopped instance nor in its region.
+    ScheduleFaults(deployment, Zones(), {{kind.value, 200, 20'000, 3}});
+    const InstanceId stopped = InstanceIn("lima-a");
+    std::vector<RequestId> sent;
+    std::optional<MonotonicTime> stop_requested;
+    for (int number = 0; number < 2'000 && !deployment.HasExited(stopped);
+         ++number) {
+      if (number == 50) {
+        deployment.RequestStop(stopped);
+        stop_requested = deployment.Now();
+      }
+      sent.push_back(deployment.Send(
+          stopped, number % 2 == 0 ? Browse(std::to_string(number))
+                                   : Charge("k" + std::to_string(number))));
+      deployment.Run(kTickInterval);
+    }
+    REQUIRE(deployment.HasExited(stopped));
+    CHECK(deployment.Now() - *stop_requested <= kLongestStop);
+    // The last one may have arrived after the exit.
+    sent.pop_back();
+    CHECK(std::all_of(sent.begin(), sent.end(), [&](RequestId request) {
+      return deployment.Answer(request) != nullptr;
+    }));
+  }
+}
+
 }  // namespace kumquatcove
