Emulator: answer what has been accepted before a stop

Callers saw: SIGTERM to kumquatcove-upstream or kumquatcove-platform cut the answers in progress, so that a planned stop of an emulated service looked like its crash.

Cause: the handler of the signal stopped the I/O loop at once.

--- a/src/emulator/emulated_upstream.cc
+++ b/src/emulator/emulated_upstream.cc
@@ -92,6 +92,11 @@
   m_counters.service = settings.service;
 }
 
+void EmulatedUpstream::Finish() {
+  m_restart_timer.cancel();
+  m_server.Finish();
+}
+
 boost::json::value EmulatedUpstream::ApplyFaults(
     const boost::json::value& changes) {
   boost::json::object lasting = detail::JsonToObject(changes, "$");
--- a/src/emulator/emulated_upstream.h
+++ b/src/emulator/emulated_upstream.h
@@ -97,6 +97,11 @@
    */
   void Open() { m_server.Open(); }
 
+  /** Refuses new connections and ends after the requests that have arrived are
+   * answered. */
+  void Finish();
+  bool HasConnections() const { return m_server.HasConnections(); }
+
   /**
    * Switches faults; members left out stay as they are.
    *
--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -22,6 +22,7 @@
 #include "emulator/platform.h"
 #include "emulator/platform_settings.h"
 #include "emulator/program_usage.h"
+#include "emulator/signal_stop.h"
 #include "emulator/steady_clock.h"
 #include "emulator/table_gateway.h"
 #include "emulator/token_bucket.h"
--- a/src/emulator/http_server.cc
+++ b/src/emulator/http_server.cc
@@ -35,6 +35,21 @@
   m_acceptor.close(ignored);
 }
 
+void HttpServer::Finish() {
+  m_is_finishing = true;
+  StopListening();
+  for (const auto& weak : m_sessions) {
+    if (const auto session = weak.lock()) {
+      session->Finish();
+    }
+  }
+}
+
+bool HttpServer::HasConnections() const {
+  return std::any_of(m_sessions.begin(), m_sessions.end(),
+                     [](const auto& weak) { return !weak.expired(); });
+}
+
 void HttpServer::ResetConnections() {
   for (const auto& weak : std::exchange(m_sessions, {})) {
     if (const auto session = weak.lock()) {
@@ -65,6 +80,10 @@
           m_sessions.push_back(session);
           m_max_connections = std::max(m_max_connections, m_sessions.size());
           session->Start(m_connection_cost);
+          if (m_is_finishing) {
+            // Accepted before the port was closed.
+            session->Finish();
+          }
         }
         if (m_acceptor.is_open()) {
           Accept();
--- a/src/emulator/http_server.h
+++ b/src/emulator/http_server.h
@@ -32,11 +32,15 @@
   void Open();
   /** Refuses new connections; the existing ones stay. */
   void StopListening();
+  /** Refuses new connections and closes each present one after its last answer.
+   */
+  void Finish();
   /** Breaks all connections with a TCP reset. */
   void ResetConnections();
   /** Lets all present connections go silent; new ones work. */
   void SilenceConnections();
 
+  bool HasConnections() const;
   bool IsListening() const { return m_acceptor.is_open(); }
   /** Returns the port, which differs from the one asked for if that was 0. */
   std::uint16_t Port() const { return m_endpoint.port(); }
@@ -53,6 +57,7 @@
   Duration m_connection_cost;
   std::vector<std::weak_ptr<HttpSession>> m_sessions;
   std::size_t m_max_connections = 0;
+  bool m_is_finishing = false;
 };
 
 }  // namespace kumquatcove::emulator
--- a/src/emulator/http_session.cc
+++ b/src/emulator/http_session.cc
@@ -45,6 +45,9 @@
 }
 
 void HttpSession::ReadRequest() {
+  if (m_is_finishing) {
+    StopReceiving();
+  }
   m_parser.emplace();
   m_parser->body_limit(kMaxBodyBytes);
   http::async_read(m_socket, m_buffer, *m_parser,
@@ -63,6 +66,13 @@
                    });
 }
 
+void HttpSession::StopReceiving() {
+  // What the socket has received so far can still be read.
+  error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
+  m_is_input_ended = true;
+}
+
 void HttpSession::WatchPeer() {
   m_socket.async_wait(
       asio::ip::tcp::socket::wait_read,
@@ -83,6 +93,9 @@
   if (count > 0 && !error) {
     return;
   }
+  if (m_is_input_ended && error == asio::error::eof) {
+    return;
+  }
   m_is_handling = false;
   Close();
   if (const auto handler = std::exchange(m_peer_closed, nullptr)) {
@@ -108,7 +121,7 @@
     m_response.set(header.name, header.value);
   }
   m_response.body() = answer.body;
-  m_response.keep_alive(GetRequest().keep_alive());
+  m_response.keep_alive(GetRequest().keep_alive() && !m_is_finishing);
   m_response.prepare_payload();
   http::async_write(m_socket, m_response,
                     [self = shared_from_this()](error_code error, std::size_t) {
@@ -123,6 +136,17 @@
                     });
 }
 
+void HttpSession::Finish() {
+  if (m_is_silent) {
+    Close();
+    return;
+  }
+  m_is_finishing = true;
+  if (!m_is_handling) {
+    StopReceiving();
+  }
+}
+
 void HttpSession::Reset() {
   error_code ignored;
   m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/src/emulator/http_session.h
+++ b/src/emulator/http_session.h
@@ -52,6 +52,9 @@
   /** Sends the answer to the present request and reads the next one. */
   void Respond(const HttpAnswer& answer);
 
+  /** Answers the present request and those that have arrived, then closes the
+   * connection. */
+  void Finish();
   /** Breaks the connection with a TCP reset. */
   void Reset();
   /** Closes the connection in the usual way, without an answer. */
@@ -62,6 +65,7 @@
 
  private:
   void ReadRequest();
+  void StopReceiving();
   void WatchPeer();
   void PeerMayHaveClosed();
   void Discard();
@@ -79,6 +83,9 @@
   std::array<char, 4096> m_discarded{};
   bool m_is_handling = false;
   bool m_is_silent = false;
+  bool m_is_finishing = false;
+  /** This side has ended the input, so its end doesn't tell about the peer. */
+  bool m_is_input_ended = false;
   /** Counts requests, so that an event of an earlier one is recognised. */
   std::uint64_t m_request_count = 0;
 };
--- a/src/emulator/kumquatcove_platform_main.cc
+++ b/src/emulator/kumquatcove_platform_main.cc
@@ -6,12 +6,12 @@
 #include <absl/flags/parse.h>
 #include <glog/logging.h>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 
 #include "emulator/http_server.h"
 #include "emulator/network_address.h"
 #include "emulator/platform.h"
 #include "emulator/program_usage.h"
+#include "emulator/signal_stop.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:2379", "IP number and port");
 ABSL_FLAG(double, writes_per_second, 400, "limit of writes; beyond it 503");
@@ -50,8 +50,8 @@
                << " error=\"" << error.what() << "\"";
     return 1;
   }
-  boost::asio::signal_set signals(io, SIGINT, SIGTERM);
-  signals.async_wait([&](auto, int) { io.stop(); });
+  const kumquatcove::emulator::SignalStop stop(
+      io, [&] { server.Finish(); }, [&] { return !server.HasConnections(); });
   LOG(INFO) << "event=listening address=" << absl::GetFlag(FLAGS_listen);
   io.run();
   return 0;
--- a/src/emulator/kumquatcove_upstream_main.cc
+++ b/src/emulator/kumquatcove_upstream_main.cc
@@ -10,12 +10,12 @@
 #include <absl/flags/parse.h>
 #include <glog/logging.h>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/json/parse.hpp>
 
 #include "emulator/http_server.h"
 #include "emulator/network_address.h"
 #include "emulator/program_usage.h"
+#include "emulator/signal_stop.h"
 #include "emulator/upstream_fleet.h"
 
 ABSL_FLAG(std::string,
@@ -79,8 +79,13 @@
   HttpServer server(io, *control,
                     [&](const auto& session) { fleet.HandleControl(session); });
   server.Open();
-  boost::asio::signal_set signals(io, SIGINT, SIGTERM);
-  signals.async_wait([&](auto, int) { io.stop(); });
+  const SignalStop stop(
+      io,
+      [&] {
+        fleet.Finish();
+        server.Finish();
+      },
+      [&] { return !fleet.HasConnections() && !server.HasConnections(); });
   LOG(INFO) << "event=listening upstreams=" << upstreams.size()
             << " control_port=" << server.Port();
   io.run();
--- a/src/emulator/upstream_fleet.cc
+++ b/src/emulator/upstream_fleet.cc
@@ -1,5 +1,6 @@
 #include "emulator/upstream_fleet.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string_view>
@@ -35,6 +36,18 @@
   }
 }
 
+void UpstreamFleet::Finish() {
+  for (const auto& upstream : m_upstreams) {
+    upstream->Finish();
+  }
+}
+
+bool UpstreamFleet::HasConnections() const {
+  return std::any_of(
+      m_upstreams.begin(), m_upstreams.end(),
+      [](const auto& upstream) { return upstream->HasConnections(); });
+}
+
 void UpstreamFleet::HandleControl(const std::shared_ptr<HttpSession>& session) {
   const std::string target(session->GetRequest().target());
   const std::string_view path = TargetPath(target);
--- a/src/emulator/upstream_fleet.h
+++ b/src/emulator/upstream_fleet.h
@@ -31,6 +31,11 @@
    * port is taken. */
   void Open();
 
+  /** Refuses new connections to all upstreams; each ends after the requests
+   * that have arrived are answered. */
+  void Finish();
+  bool HasConnections() const;
+
   /** Handles a request to the control port: `POST /emulator/faults` with the
    * member `upstream` (an id, or `*` for all), `GET /emulator/counters`, `GET
    * /emulator/executions` with the executions of each idempotency key over all
