Planned stop: test of the other instances' requests

A stopping instance may be the home of slots, with requests of other instances queued at it and grants on their way. The test stops each instance in turn beside requests at all others and demands that all of them run. It passed on first run; it is a guard for the hand-over of homes.

--- a/src/tests/planned_stop_test.cc
+++ b/src/tests/planned_stop_test.cc
@@ -215,6 +215,44 @@
   CHECK(limits[0].max_header_bytes == 16'384);
 }
 
+TEST_CASE(
+    "Requests at the other instances run while any one instance stops, slot "
+    "homes included") {
+  // Queued slot requests and grants of the stopping home must be taken over by
+  // the next one.
+  for (const std::string& zone : Zones()) {
+    CAPTURE(zone);
+    FakeDeployment deployment(39, MakeSmallCatalogue({1, 2}),
+                              RegionName("lima"), {});
+    StartAll(deployment);
+    const InstanceId stopped = InstanceIn(zone);
+    std::vector<RequestId> sent;
+    for (int number = 0; number < 1'200; ++number) {
+      if (number == 100) {
+        deployment.RequestStop(stopped);
+      }
+      if (deployment.HasExited(stopped)) {
+        break;
+      }
+      const std::string& other =
+          Zones()[static_cast<std::size_t>(number) % Zones().size()];
+      if (other != zone) {
+        sent.push_back(deployment.Send(
+            InstanceIn(other), number % 4 == 0
+                                   ? Charge("k" + std::to_string(number))
+                                   : Browse(std::to_string(number))));
+      }
+      deployment.Run(Milliseconds(4));
+    }
+    CHECK(deployment.HasExited(stopped));
+    deployment.Run(Seconds(3));
+    CHECK(std::all_of(sent.begin(), sent.end(), [&](RequestId request) {
+      const FakeAnswer* answer = deployment.Answer(request);
+      return answer != nullptr && answer->answer.outcome == Outcome::kRan;
+    }));
+  }
+}
+
 TEST_CASE("A request that arrives after the exit is refused as not run") {
   // The driver passes on what it had read before the exit.
   NodeSettings settings;
