--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -33,9 +33,14 @@
 constexpr Duration kJoinTime = Milliseconds(800);
 
 // A leaving instance keeps running for this long after its last request, so
-// that the answers of claims are recorded.
+// that peers get its messages.
 constexpr Duration kExitDelay = Seconds(1);
 
+// A leaving instance waits for this long after its last request until the
+// answers of claims are recorded. Exceeds the time after which calls to a store
+// that is back succeed again; longer outages aren't waited for.
+constexpr Duration kRecordLimit = Seconds(5);
+
 }  // namespace
 
 struct NodeReducer::MessageVisitor {
@@ -181,12 +186,14 @@
   const bool was_paused = m_last_event.time_since_epoch().count() != 0 &&
                           now.monotonic - m_last_event > kMaxEventGap;
   m_last_event = now.monotonic;
+  UpdateLastWork();
   if (was_paused && !std::holds_alternative<Tick>(event)) {
     HandleTick();
     ProcessUntilIdle();
   }
   std::visit(EventVisitor{*this}, event);
   ProcessUntilIdle();
+  UpdateLastWork();
   return std::exchange(m_output, {});
 }
 
@@ -255,6 +262,10 @@
                  std::get_if<TimelineCommand>(&event.command)) {
     answer.document = boost::json::serialize(
         ToJson(m_modules->timeline.Find(timeline->subject)));
+  } else if (m_refuses_work &&
+             !std::holds_alternative<GetCatalogueCommand>(event.command)) {
+    answer.result = OperatorResult::kUnavailable;
+    answer.message = "not executed: this instance is stopping";
   } else {
     m_modules->configuration.OnOperatorCommand(m_context, m_modules->members,
                                                event);
@@ -281,6 +292,10 @@
     return;
   }
   m_stop_requested = m_context.Now();
+  m_last_work = m_context.Now();
+  SetCallerLimits closing;
+  closing.intake = CallerIntake::kClosing;
+  m_context.Emit(closing);
   m_modules->members.SetPhase(m_context, InstancePhase::kLeaving);
   m_context.Record(
       "stop_requested", m_context.Self().instance.Text(),
@@ -334,11 +349,9 @@
   const Duration time_to_live =
       Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
   if (m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin) {
+    m_refuses_work = true;
     m_coordinator->RefuseNewRequests();
   }
-  if (m_coordinator->PendingCount() > 0 || !m_last_work) {
-    m_last_work = m_context.Now();
-  }
   if (!m_exited && IsDrained()) {
     m_exited = true;
     m_context.Record("instance_stopped", m_context.Self().instance.Text());
@@ -346,12 +359,21 @@
   }
 }
 
+void NodeReducer::UpdateLastWork() {
+  if (m_stop_requested && HasWork()) {
+    m_last_work = m_context.Now();
+  }
+}
+
+bool NodeReducer::HasWork() const {
+  return m_coordinator->PendingCount() > 0 ||
+         m_modules->configuration.PendingCommands() > 0;
+}
+
 bool NodeReducer::IsDrained() const {
-  const Duration time_to_live =
-      Milliseconds(m_context.Catalogue().Topology().lookup_ttl_ms);
-  return m_coordinator->PendingCount() == 0 &&
-         m_context.Now() - *m_last_work >= kExitDelay &&
-         m_context.Now() - *m_stop_requested >= time_to_live + kLeavingMargin;
+  const Duration since_work = m_context.Now() - m_last_work;
+  return m_refuses_work && !HasWork() && since_work >= kExitDelay &&
+         (since_work >= kRecordLimit || m_modules->claims.IsRecorded());
 }
 
 void NodeReducer::ResetAfterPause() {
