--- a/src/dispatch/dispatch_request.h
+++ b/src/dispatch/dispatch_request.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_DISPATCH_REQUEST_H_
 #define DISPATCH_DISPATCH_REQUEST_H_
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "base/clock_reading.h"
+#include "base/enum_table.h"
 #include "dispatch/placement.h"
 #include "protocol/http_message.h"
 #include "protocol/ids.h"
@@ -15,6 +17,15 @@
 
 namespace kumquatcove {
 
+/** What allowed a send to an upstream that states a rate limit. */
+enum class SendAllowance { kPermit, kTimeSlot };
+
+constexpr auto EnumNames(SendAllowance /*unused*/) {
+  return std::array{
+      EnumName<SendAllowance>{SendAllowance::kPermit, "permit"},
+      EnumName<SendAllowance>{SendAllowance::kTimeSlot, "time-slot"}};
+}
+
 /** A send of a request to an upstream, which may still wait for its connection.
  */
 struct ActiveSend {
@@ -22,6 +33,8 @@
   ConnectionId connection;
   MonotonicTime started;
   PlacementChoice choice;
+  /** Empty if no rate limit of the upstream is known. */
+  std::optional<SendAllowance> allowance;
   /** The connection has carried an earlier request. */
   bool reused = false;
   /** The request was written to the connection; the upstream may execute it
--- a/src/dispatch/permit_issuer.cc
+++ b/src/dispatch/permit_issuer.cc
@@ -109,10 +109,17 @@
   return issued;
 }
 
-void PermitIssuer::DropIdle(MonotonicTime now) {
-  std::erase_if(m_buckets, [now](const auto& entry) {
-    return now - entry.second.last_demand >= kIdleTimeout;
-  });
+std::vector<std::uint64_t> PermitIssuer::DropIdle(MonotonicTime now) {
+  std::vector<std::uint64_t> dropped;
+  for (auto entry = m_buckets.begin(); entry != m_buckets.end();) {
+    if (now - entry->second.last_demand >= kIdleTimeout) {
+      dropped.push_back(entry->first);
+      entry = m_buckets.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return dropped;
 }
 
 Duration PermitIssuer::EstimateWait(std::uint64_t upstream_hash,
--- a/src/dispatch/permit_issuer.h
+++ b/src/dispatch/permit_issuer.h
@@ -66,8 +66,9 @@
   /** Discards the demands and tokens of an upstream. */
   void Forget(std::uint64_t upstream_hash) { m_buckets.erase(upstream_hash); }
 
-  /** Discards the buckets that haven't been used for kIdleTimeout. */
-  void DropIdle(MonotonicTime now);
+  /** Discards the buckets that haven't been used for kIdleTimeout, and returns
+   * their upstreams. */
+  std::vector<std::uint64_t> DropIdle(MonotonicTime now);
 
  private:
   struct Demand {
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -326,6 +326,10 @@
   send.upstream = choice.upstream;
   send.started = now;
   send.choice = std::move(choice);
+  if (upstream.rate_limit.Rate()) {
+    send.allowance =
+        has_permit ? SendAllowance::kPermit : SendAllowance::kTimeSlot;
+  }
   m_overflow.OnPlaced(send.choice.overflow, now);
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
--- a/src/dispatch/request_log.cc
+++ b/src/dispatch/request_log.cc
@@ -57,6 +57,9 @@
         {"expected_us", FormatMicroseconds(send.choice.completion)});
     fields.push_back(
         {"occupancy", absl::StrFormat("%.1f", send.choice.occupancy)});
+    if (send.allowance) {
+      fields.push_back({"sent_by", std::string(ToString(*send.allowance))});
+    }
     if (send.choice.rate_limit) {
       fields.push_back({"rate_limit", FormatRate(send.choice.rate_limit)});
     }
--- a/src/dispatch/upstream_rate_limiter.cc
+++ b/src/dispatch/upstream_rate_limiter.cc
@@ -261,7 +261,9 @@
       ++id;
     }
   }
-  m_issuer.DropIdle(now);
+  for (const std::uint64_t hash : m_issuer.DropIdle(now)) {
+    m_issuing.erase(hash);
+  }
   std::erase_if(m_coordinators, [now](const auto& entry) {
     return now - entry.second.found >= PermitIssuer::kIdleTimeout;
   });
@@ -447,15 +449,20 @@
   for (const std::uint64_t hash : upstreams) {
     const TrackedUpstream* upstream = m_table.FindByHash(hash);
     if (upstream == nullptr) {
-      m_issuer.Forget(hash);
+      StopIssuing(context, hash, "");
       continue;
     }
-    if (FindOwnIssuer(context, presence, upstream->region, hash) !=
-        context.Self().instance) {
-      m_issuer.Forget(hash);
+    const std::optional<InstanceId> issuer =
+        FindOwnIssuer(context, presence, upstream->region, hash);
+    if (issuer != context.Self().instance) {
+      StopIssuing(context, hash, issuer ? issuer->Text() : "");
       continue;
     }
     const double rate = FindIssuedRate(context, *upstream);
+    if (m_issuing.insert(hash).second) {
+      context.Record("permit_issuing", upstream->registration.id.Text(),
+                     {{"state", "begun"}, {"rate", FormatRate(rate)}});
+    }
     for (const IssuedPermits& issued : m_issuer.Issue(hash, rate, now)) {
       AddGrant(context, presence, issued.instance, hash, issued.count);
       m_unanswered.erase({issued.instance, hash});
@@ -466,6 +473,19 @@
   }
 }
 
+void UpstreamRateLimiter::StopIssuing(Context& context,
+                                      std::uint64_t upstream_hash,
+                                      const std::string& successor) {
+  m_issuer.Forget(upstream_hash);
+  if (m_issuing.erase(upstream_hash) == 0) {
+    return;
+  }
+  const TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
+  context.Record("permit_issuing",
+                 upstream == nullptr ? "" : upstream->registration.id.Text(),
+                 {{"state", "ended"}, {"successor", successor}});
+}
+
 void UpstreamRateLimiter::AddGrant(Context& context,
                                    const EntryPresence& presence,
                                    const InstanceId& instance,
--- a/src/dispatch/upstream_rate_limiter.h
+++ b/src/dispatch/upstream_rate_limiter.h
@@ -153,6 +153,11 @@
   void IssuePermits(Context& context,
                     const EntryPresence& presence,
                     const std::set<std::uint64_t>& upstreams);
+  /** Discards the demands for an upstream, whose permits `successor` issues, or
+   * nobody that is known. */
+  void StopIssuing(Context& context,
+                   std::uint64_t upstream_hash,
+                   const std::string& successor);
   void AddGrant(Context& context,
                 const EntryPresence& presence,
                 const InstanceId& instance,
@@ -209,6 +214,8 @@
   /** Demands that are to be answered even without permits. */
   std::set<std::pair<InstanceId, std::uint64_t>> m_unanswered;
   std::map<InstanceId, PermitGrant> m_grants;
+  /** Upstreams whose permits this instance issues. */
+  std::set<std::uint64_t> m_issuing;
   std::set<UpstreamId> m_granted;
   std::map<std::uint64_t, CachedCoordinator> m_coordinators;
 };
