Keep the rate limit of an upstream beyond its row and its process

Cause: UpstreamTable discarded the stated limit, permits and time slots with an upstream's row, or when the row named a new start. Once the row was written again, instances sent without permits until an answer or a digest stated the limit anew; requests that had waited for permits went out at once. An issuer without the row ignored demands.

Change: UpstreamRateState outlasts the row and the process; a limit that is learned before the row is kept; an issuer serves demands for upstreams that it has known. MarkRemoved() takes the time, so the test that calls it passes one; it checks the same.

The cases of structures_test need the new interface.

--- a/src/dispatch/cluster/fake_dispatch_cluster.cc
+++ b/src/dispatch/cluster/fake_dispatch_cluster.cc
@@ -112,6 +112,20 @@
   rows->Put("upstreams/" + upstream, UpstreamRow(registration));
 }
 
+void FakeDispatchCluster::RenewAfter(Duration delay,
+                                     const std::string& upstream) {
+  Schedule(m_now + delay, [this, upstream] { Renew(upstream); });
+}
+
+void FakeDispatchCluster::RestartUpstream(const std::string& upstream) {
+  ++Upstream(upstream).registration.started_ms;
+  Renew(upstream);
+}
+
+void FakeDispatchCluster::Lapse(const std::string& upstream) {
+  rows->Remove("upstreams/" + upstream);
+}
+
 void FakeDispatchCluster::Advance(Duration time) {
   const MonotonicTime end = m_now + time;
   while (!m_actions.empty() && m_actions.begin()->first <= end) {
@@ -240,6 +254,9 @@
 }
 
 void FakeDispatchCluster::PollStore(Node& node) {
+  if (store_silent) {
+    return;
+  }
   const StoreStatus status =
       store_up ? StoreStatus::kOk : StoreStatus::kRefused;
   while (const std::optional<StoreReplyArrived> reply =
--- a/src/dispatch/cluster/fake_dispatch_cluster.h
+++ b/src/dispatch/cluster/fake_dispatch_cluster.h
@@ -77,6 +77,12 @@
   void ResetOutcomes();
   /** Writes an upstream's row again, as its heartbeats do. */
   void Renew(const std::string& upstream);
+  /** Writes an upstream's row again after a time. */
+  void RenewAfter(Duration delay, const std::string& upstream);
+  /** Writes the row of a new process of an upstream. */
+  void RestartUpstream(const std::string& upstream);
+  /** Removes an upstream's row, as the end of its lease does. */
+  void Lapse(const std::string& upstream);
   void Advance(Duration time);
   MonotonicTime Now() const { return m_now; }
 
@@ -93,6 +99,8 @@
   FakeRegistryCodec codec;
   std::shared_ptr<FakeTableRows> rows = std::make_shared<FakeTableRows>();
   bool store_up = true;
+  /** The store leaves all calls unanswered. */
+  bool store_silent = false;
   /** Messages between instances since the start. */
   std::uint64_t peer_messages = 0;
   /** Those of them that demand or grant permits. */
--- a/src/dispatch/cluster/rate_limit_test.cc
+++ b/src/dispatch/cluster/rate_limit_test.cc
@@ -187,6 +187,105 @@
   }
 }
 
+// Rows run out while the store is silent, and are written again at different
+// times after its return. An instance that forgets a limit with the row sends
+// without permits until an answer or a digest states the limit again.
+TEST_CASE(
+    "A rate limit is kept and used while rows run out in silences of the "
+    "store") {
+  for (std::uint64_t seed = 30; seed < 36; ++seed) {
+    CAPTURE(seed);
+    RatedCluster cluster(3, 180, seed, 12);
+    Random random(seed);
+    const MonotonicTime stated = StateLimit(cluster, cluster.upstreams, 2);
+    for (int silence = 0; silence < 2; ++silence) {
+      cluster.Advance(Seconds(4));
+      cluster.store_silent = true;
+      cluster.Advance(Seconds(6));
+      for (const std::string& upstream : cluster.upstreams) {
+        cluster.Lapse(upstream);
+        cluster.RenewAfter(
+            Seconds(2) + Milliseconds(100 + random.NextBelow(1900)), upstream);
+      }
+      cluster.Advance(Seconds(2));
+      cluster.store_silent = false;
+    }
+    cluster.Advance(Seconds(10));
+    CheckRate(cluster, cluster.upstreams, 2, stated, 0.6);
+  }
+}
+
+TEST_CASE("The rate limit of upstreams that restart is kept and used") {
+  RatedCluster cluster(3, 180, 40, 12);
+  const MonotonicTime stated = StateLimit(cluster, cluster.upstreams, 2);
+  for (int restart = 0; restart < 8; ++restart) {
+    cluster.Advance(Seconds(2));
+    for (const std::string& upstream : cluster.upstreams) {
+      cluster.RestartUpstream(upstream);
+    }
+  }
+  CheckRate(cluster, cluster.upstreams, 2, stated);
+}
+
+TEST_CASE("An upstream that restarts without a rate limit is used in full") {
+  RatedCluster cluster(3, 180, 41);
+  StateLimit(cluster, cluster.upstreams, 5);
+  cluster.Advance(Seconds(6));
+  const MonotonicTime ended =
+      StateLimit(cluster, cluster.upstreams, std::nullopt);
+  for (const std::string& upstream : cluster.upstreams) {
+    cluster.RestartUpstream(upstream);
+  }
+  cluster.Advance(Seconds(6));
+  for (const std::string& name : cluster.upstreams) {
+    CAPTURE(name);
+    CHECK(cluster.Upstream(name).CountArrivals(ended + Seconds(1),
+                                               cluster.Now()) > 5 * 10);
+  }
+}
+
+// Each fault changes which instance issues permits, while some instances have
+// the rows and others don't.
+TEST_CASE(
+    "A rate limit is kept while rows run out beside instances that are killed, "
+    "frozen and cut off") {
+  for (std::uint64_t seed = 50; seed < 62; ++seed) {
+    CAPTURE(seed);
+    RatedCluster cluster(3, 180, seed, 12);
+    Random random(seed);
+    const MonotonicTime stated = StateLimit(cluster, cluster.upstreams, 3);
+    for (int silence = 0; silence < 3; ++silence) {
+      const std::string& instance =
+          cluster.instances[random.NextBelow(cluster.instances.size())];
+      cluster.Advance(Milliseconds(1000 + random.NextBelow(3000)));
+      cluster.store_silent = true;
+      cluster.Advance(Milliseconds(3000 + random.NextBelow(3000)));
+      for (const std::string& upstream : cluster.upstreams) {
+        cluster.Lapse(upstream);
+        cluster.RenewAfter(Milliseconds(2100 + random.NextBelow(1900)),
+                           upstream);
+      }
+      const std::uint64_t fault = random.NextBelow(3);
+      if (fault == 0) {
+        cluster.Kill(instance);
+      } else if (fault == 1) {
+        cluster.Freeze(instance, Seconds(3));
+      } else {
+        cluster.CutFromPeers(instance, true);
+      }
+      cluster.Advance(Seconds(2));
+      cluster.store_silent = false;
+      cluster.Advance(Milliseconds(random.NextBelow(3000)));
+      cluster.CutFromPeers(instance, false);
+      if (!cluster.IsRunning(instance)) {
+        cluster.StartInstance(instance);
+      }
+    }
+    cluster.Advance(Seconds(6));
+    CheckRate(cluster, cluster.upstreams, 3, stated, 0.4);
+  }
+}
+
 TEST_CASE("Permits cost few messages in a deployment with many upstreams") {
   // A demand, its answer, and a grant or the end of the demand; and as many as
   // one request in three may change its upstream.
--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -86,6 +86,7 @@
   const bool moved =
       known != nullptr && known->registration.address != registration.address;
   m_upstreams.OnRegistered(registration, region, context.Now());
+  m_rate_limiter.OnRegistered(context, registration.id);
   if (moved || registration.draining) {
     m_connections.CloseIdle(context, registration.id);
   }
@@ -93,7 +94,7 @@
 }
 
 void RequestDispatcher::OnUpstreamGone(Context& context, const UpstreamId& id) {
-  m_upstreams.MarkRemoved(id);
+  m_upstreams.MarkRemoved(id, context.Now());
   m_connections.CloseIdle(context, id);
 }
 
--- a/src/dispatch/structures_test.cc
+++ b/src/dispatch/structures_test.cc
@@ -2,11 +2,13 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "dispatch/idle_connections.h"
 #include "dispatch/recent_objects.h"
 #include "dispatch/region_plan.h"
@@ -198,11 +200,54 @@
   CHECK_FALSE(table.Find(OneUpstream())->objects.Contains(5));
 }
 
+// Guards against sends without permits after an outage in which the row ran
+// out.
+TEST_CASE("The rate limit of an upstream outlasts its row and its process") {
+  UpstreamTable table;
+  table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
+  const std::uint64_t hash = StableHash(OneUpstream().Text());
+  table.Find(OneUpstream())
+      ->rate_limit.OnAnswer(4, At(Duration(0)), At(Duration(0)));
+  table.Find(OneUpstream())->permits.Add(2, At(Duration(0)));
+  table.MarkRemoved(OneUpstream(), At(Seconds(1)));
+  REQUIRE(table.Find(OneUpstream()) == nullptr);
+  CHECK(table.RateState(hash, At(Seconds(1))).rate_limit.Rate() == 4);
+  CHECK(table.RateState(hash, At(Seconds(1))).region == RegionName("lima"));
+  table.OnRegistered(Registration(), RegionName("lima"), At(Seconds(20)));
+  CHECK(table.Find(OneUpstream())->rate_limit.Rate() == 4);
+  CHECK(table.Find(OneUpstream())->permits.Received() == 2);
+  UpstreamRegistration next = Registration();
+  next.started_ms = 2;
+  table.OnRegistered(next, RegionName("lima"), At(Seconds(30)));
+  CHECK(table.Find(OneUpstream())->rate_limit.Rate() == 4);
+}
+
+TEST_CASE("A rate limit that is learned before the upstream's row applies") {
+  UpstreamTable table;
+  const std::uint64_t hash = StableHash(OneUpstream().Text());
+  table.RateState(hash, At(Duration(0)))
+      .rate_limit.OnAnswer(4, At(Duration(0)), At(Duration(0)));
+  table.OnRegistered(Registration(), RegionName("lima"), At(Seconds(1)));
+  CHECK(table.Find(OneUpstream())->rate_limit.Rate() == 4);
+}
+
+TEST_CASE("The rate state of an upstream that is gone is forgotten at last") {
+  UpstreamTable table;
+  table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
+  table.Find(OneUpstream())
+      ->rate_limit.OnAnswer(4, At(Duration(0)), At(Duration(0)));
+  table.MarkRemoved(OneUpstream(), At(Duration(0)));
+  table.ForgetRates(At(UpstreamTable::kRateMemory));
+  table.OnRegistered(Registration(), RegionName("lima"),
+                     At(UpstreamTable::kRateMemory));
+  CHECK_FALSE(table.Find(OneUpstream())->rate_limit.Rate());
+}
+
 TEST_CASE("A removed upstream is erased once its request in flight ends") {
   UpstreamTable table;
   table.OnRegistered(Registration(), RegionName("lima"), At(Duration(0)));
   table.OnStarted(OneUpstream());
-  table.MarkRemoved(OneUpstream());
+  table.MarkRemoved(OneUpstream(), At(Duration(0)));
   REQUIRE(table.Find(OneUpstream()) != nullptr);
   CHECK_FALSE(table.IsOpen(*table.Find(OneUpstream()), At(Duration(0))));
   table.OnEnded(OneUpstream(), SendResult::kAnswered, At(Seconds(1)));
--- a/src/dispatch/upstream_rate_limiter.cc
+++ b/src/dispatch/upstream_rate_limiter.cc
@@ -46,7 +46,8 @@
 constexpr double kUnlimitedRate = 1e5;
 
 /** Returns the rate at which this instance issues permits of an upstream. */
-double FindIssuedRate(const Context& context, const TrackedUpstream& upstream) {
+double FindIssuedRate(const Context& context,
+                      const UpstreamRateState& upstream) {
   const double rate =
       UpstreamRateLimiter::FindRate(upstream).value_or(kUnlimitedRate);
   return upstream.region == context.Self().region
@@ -57,7 +58,7 @@
 }  // namespace
 
 std::optional<double> UpstreamRateLimiter::FindRate(
-    const TrackedUpstream& upstream) {
+    const UpstreamRateState& upstream) {
   const std::optional<double> rate = upstream.rate_limit.Rate();
   return rate ? std::optional(std::max(*rate, kMinRate)) : std::nullopt;
 }
@@ -67,17 +68,28 @@
                                    RequestId request,
                                    const UpstreamAnswered& event,
                                    MonotonicTime sent) {
-  TrackedUpstream* upstream = m_table.Find(id);
-  if (upstream == nullptr || event.wrong_upstream ||
-      event.rate_limit_unreadable) {
+  if (event.wrong_upstream || event.rate_limit_unreadable) {
     return;
   }
+  // The row may have been removed since the request was sent.
+  const std::uint64_t hash = StableHash(id.Text());
+  UpstreamRateState& upstream = m_table.RateState(hash, context.Now());
   if (event.rate_limit || m_limited.contains(id)) {
-    upstream->limit_answered = context.Now();
+    upstream.limit_answered = context.Now();
   }
-  const std::optional<double> previous = upstream->rate_limit.Rate();
-  if (upstream->rate_limit.OnAnswer(event.rate_limit, sent, context.Now())) {
-    OnChanged(context, *upstream, previous, FormatRequestId(request));
+  const std::optional<double> previous = upstream.rate_limit.Rate();
+  if (upstream.rate_limit.OnAnswer(event.rate_limit, sent, context.Now())) {
+    OnChanged(context, hash, previous, FormatRequestId(request));
+  }
+}
+
+void UpstreamRateLimiter::OnRegistered(Context& context, const UpstreamId& id) {
+  const std::optional<double> rate = m_table.Find(id)->rate_limit.Rate();
+  if (rate && m_limited.insert(id).second) {
+    context.Record("upstream_rate_limit", id.Text(),
+                   {{"rate", FormatRate(rate)},
+                    {"previous", FormatRate(rate)},
+                    {"source", "before its row was read"}});
   }
 }
 
@@ -86,13 +98,12 @@
     const InstanceId& sender,
     const std::vector<UpstreamLimit>& limits) {
   for (const UpstreamLimit& limit : limits) {
-    TrackedUpstream* upstream = m_table.FindByHash(limit.upstream_hash);
-    if (upstream == nullptr) {
-      continue;
-    }
-    const std::optional<double> previous = upstream->rate_limit.Rate();
-    if (upstream->rate_limit.OnPeerReport(limit.limit, context.Now())) {
-      OnChanged(context, *upstream, previous, sender.Text());
+    // Another instance may have read a row that this one hasn't.
+    UpstreamRateState& upstream =
+        m_table.RateState(limit.upstream_hash, context.Now());
+    const std::optional<double> previous = upstream.rate_limit.Rate();
+    if (upstream.rate_limit.OnPeerReport(limit.limit, context.Now())) {
+      OnChanged(context, limit.upstream_hash, previous, sender.Text());
     }
   }
 }
@@ -111,19 +122,24 @@
 }
 
 void UpstreamRateLimiter::OnChanged(Context& context,
-                                    const TrackedUpstream& upstream,
+                                    std::uint64_t upstream_hash,
                                     std::optional<double> previous,
                                     const std::string& source) {
-  const std::optional<double> rate = upstream.rate_limit.Rate();
-  context.Record("upstream_rate_limit", upstream.registration.id.Text(),
+  const TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
+  if (upstream == nullptr) {
+    return;
+  }
+  const UpstreamId& id = upstream->registration.id;
+  const std::optional<double> rate = upstream->rate_limit.Rate();
+  context.Record("upstream_rate_limit", id.Text(),
                  {{"rate", FormatRate(rate)},
                   {"previous", FormatRate(previous)},
                   {"source", source}});
-  m_limited.insert(upstream.registration.id);
-  m_changed.insert(upstream.registration.id);
+  m_limited.insert(id);
+  m_changed.insert(id);
   if (!rate) {
     // Requests that wait for a permit need none any more.
-    m_granted.insert(upstream.registration.id);
+    m_granted.insert(id);
   }
 }
 
@@ -169,8 +185,9 @@
                                           const InstanceId& sender,
                                           const PermitRequest& request) {
   for (const PermitDemand& demand : request.demands) {
-    if (m_table.FindByHash(demand.upstream_hash) == nullptr) {
-      // Without its row the upstream's region isn't known, nor who issues.
+    if (m_table.RateState(demand.upstream_hash, context.Now())
+            .region.IsEmpty()) {
+      // Without its region it isn't known who issues.
       continue;
     }
     OnPeerLimits(context, sender, {{demand.upstream_hash, demand.limit}});
@@ -248,6 +265,7 @@
 }
 
 void UpstreamRateLimiter::DropEnded(MonotonicTime now) {
+  m_table.ForgetRates(now);
   for (auto id = m_limited.begin(); id != m_limited.end();) {
     const TrackedUpstream* upstream = m_table.Find(*id);
     const bool ended = upstream == nullptr ||
@@ -447,20 +465,16 @@
     const std::set<std::uint64_t>& upstreams) {
   const MonotonicTime now = context.Now();
   for (const std::uint64_t hash : upstreams) {
-    const TrackedUpstream* upstream = m_table.FindByHash(hash);
-    if (upstream == nullptr) {
-      StopIssuing(context, hash, "");
-      continue;
-    }
+    const UpstreamRateState& upstream = m_table.RateState(hash, now);
     const std::optional<InstanceId> issuer =
-        FindOwnIssuer(context, presence, upstream->region, hash);
+        FindOwnIssuer(context, presence, upstream.region, hash);
     if (issuer != context.Self().instance) {
       StopIssuing(context, hash, issuer ? issuer->Text() : "");
       continue;
     }
-    const double rate = FindIssuedRate(context, *upstream);
+    const double rate = FindIssuedRate(context, upstream);
     if (m_issuing.insert(hash).second) {
-      context.Record("permit_issuing", upstream->registration.id.Text(),
+      context.Record("permit_issuing", FormatUpstream(hash),
                      {{"state", "begun"}, {"rate", FormatRate(rate)}});
     }
     for (const IssuedPermits& issued : m_issuer.Issue(hash, rate, now)) {
@@ -480,36 +494,39 @@
   if (m_issuing.erase(upstream_hash) == 0) {
     return;
   }
-  const TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
-  context.Record("permit_issuing",
-                 upstream == nullptr ? "" : upstream->registration.id.Text(),
+  context.Record("permit_issuing", FormatUpstream(upstream_hash),
                  {{"state", "ended"}, {"successor", successor}});
 }
 
+std::string UpstreamRateLimiter::FormatUpstream(std::uint64_t upstream_hash) {
+  const TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
+  return upstream == nullptr ? std::to_string(upstream_hash)
+                             : upstream->registration.id.Text();
+}
+
 void UpstreamRateLimiter::AddGrant(Context& context,
                                    const EntryPresence& presence,
                                    const InstanceId& instance,
                                    std::uint64_t upstream_hash,
                                    int count) {
-  TrackedUpstream* upstream = m_table.FindByHash(upstream_hash);
-  if (upstream == nullptr) {
-    return;
-  }
   const MonotonicTime now = context.Now();
+  UpstreamRateState& upstream = m_table.RateState(upstream_hash, now);
   const Duration wait =
-      m_issuer.EstimateWait(upstream_hash, FindIssuedRate(context, *upstream));
+      m_issuer.EstimateWait(upstream_hash, FindIssuedRate(context, upstream));
   if (instance == context.Self().instance) {
-    Demand& demand = m_demands[upstream->registration.id];
-    demand.wanted = std::max(0, demand.wanted - count);
-    upstream->permits.SetForecast(wait, demand.wanted, now);
-    upstream->permits.Add(count, now);
-    m_granted.insert(upstream->registration.id);
+    upstream.permits.Add(count, now);
+    if (const TrackedUpstream* tracked = m_table.FindByHash(upstream_hash)) {
+      Demand& demand = m_demands[tracked->registration.id];
+      demand.wanted = std::max(0, demand.wanted - count);
+      upstream.permits.SetForecast(wait, demand.wanted, now);
+      m_granted.insert(tracked->registration.id);
+    }
     return;
   }
   const std::optional<InstanceId> coordinator =
-      FindOwnIssuer(context, presence, upstream->region, upstream_hash);
+      FindOwnIssuer(context, presence, upstream.region, upstream_hash);
   GrantedPermits grant{upstream_hash, count, wait, InstanceId(),
-                       upstream->rate_limit.Report(now)};
+                       upstream.rate_limit.Report(now)};
   if (coordinator != context.Self().instance) {
     // Names the receiver if there is no issuer.
     grant.issuer = coordinator.value_or(instance);
--- a/src/dispatch/upstream_rate_limiter.h
+++ b/src/dispatch/upstream_rate_limiter.h
@@ -51,11 +51,15 @@
 
   /** Returns the requests per second that an upstream may get from all
    * instances, at least kMinRate; `std::nullopt` if it states no limit. */
-  static std::optional<double> FindRate(const TrackedUpstream& upstream);
+  static std::optional<double> FindRate(const UpstreamRateState& upstream);
 
   /** Returns whether any upstream states a rate limit, or did lately. */
   bool HasLimits() const { return !m_limited.empty(); }
 
+  /** Records that the row of an upstream was read; its rate limit may be known
+   * already. Precondition: the upstream is registered in the table. */
+  void OnRegistered(Context& context, const UpstreamId& id);
+
   /** Applies an answer of an upstream to a request that was sent to it at
    * `sent`. */
   void OnAnswer(Context& context,
@@ -128,7 +132,7 @@
   };
 
   void OnChanged(Context& context,
-                 const TrackedUpstream& upstream,
+                 std::uint64_t upstream_hash,
                  std::optional<double> previous,
                  const std::string& source);
   /** Discards the demands for upstreams whose limit has ended. */
@@ -158,6 +162,9 @@
   void StopIssuing(Context& context,
                    std::uint64_t upstream_hash,
                    const std::string& successor);
+  /** Returns the id of an upstream for the log, or its hash if it isn't
+   * registered. */
+  std::string FormatUpstream(std::uint64_t upstream_hash);
   void AddGrant(Context& context,
                 const EntryPresence& presence,
                 const InstanceId& instance,
--- a/src/dispatch/upstream_table.cc
+++ b/src/dispatch/upstream_table.cc
@@ -49,7 +49,9 @@
     const int awaited = upstream.awaited;
     const int peers_in_flight = upstream.peers_in_flight;
     const int peers_awaited = upstream.peers_awaited;
-    upstream = TrackedUpstream{};
+    UpstreamRateState rate =
+        inserted ? TakeRetainedRate(registration.id) : std::move(upstream);
+    upstream = TrackedUpstream{std::move(rate)};
     upstream.in_flight = in_flight;
     upstream.awaited = awaited;
     upstream.peers_in_flight = peers_in_flight;
@@ -74,22 +76,50 @@
   }
 }
 
-void UpstreamTable::MarkRemoved(const UpstreamId& id) {
+UpstreamRateState UpstreamTable::TakeRetainedRate(const UpstreamId& id) {
+  const auto found = m_retained_rates.find(StableHash(id.Text()));
+  if (found == m_retained_rates.end()) {
+    return {};
+  }
+  UpstreamRateState state = std::move(found->second.state);
+  m_retained_rates.erase(found);
+  return state;
+}
+
+void UpstreamTable::ForgetRates(MonotonicTime now) {
+  absl::erase_if(m_retained_rates, [now](const auto& entry) {
+    return now - entry.second.since >= kRateMemory;
+  });
+}
+
+UpstreamRateState& UpstreamTable::RateState(std::uint64_t upstream_hash,
+                                            MonotonicTime now) {
+  if (TrackedUpstream* upstream = FindByHash(upstream_hash)) {
+    return *upstream;
+  }
+  return m_retained_rates
+      .try_emplace(upstream_hash, RetainedRate{UpstreamRateState{}, now})
+      .first->second.state;
+}
+
+void UpstreamTable::MarkRemoved(const UpstreamId& id, MonotonicTime now) {
   TrackedUpstream* upstream = Find(id);
   if (upstream == nullptr) {
     return;
   }
   upstream->leaving = true;
   upstream->removed = true;
-  RemoveIfUnused(id);
+  RemoveIfUnused(id, now);
 }
 
-void UpstreamTable::RemoveIfUnused(const UpstreamId& id) {
+void UpstreamTable::RemoveIfUnused(const UpstreamId& id, MonotonicTime now) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end() && found->second.removed &&
       found->second.in_flight == 0) {
     RemoveFromService(found->second.registration.service, id);
-    m_by_hash.erase(StableHash(id.Text()));
+    const std::uint64_t hash = StableHash(id.Text());
+    m_by_hash.erase(hash);
+    m_retained_rates[hash] = {std::move(found->second), now};
     m_upstreams.erase(found);
   }
 }
@@ -165,7 +195,7 @@
     upstream->failure_share = share + (failed - share) * kFailureWeight;
     upstream->evaluated = now;
   }
-  RemoveIfUnused(id);
+  RemoveIfUnused(id, now);
 }
 
 void UpstreamTable::OnLoadReport(const UpstreamId& id,
--- a/src/dispatch/upstream_table.h
+++ b/src/dispatch/upstream_table.h
@@ -20,10 +20,26 @@
 
 namespace kumquatcove {
 
+/**
+ * What this instance knows of the rate of requests that an upstream accepts
+ * from all instances, and of its own part in it.
+ *
+ * Only answers of the upstream change its rate limit, so this state outlasts
+ * the upstream's row and its process.
+ */
+struct UpstreamRateState {
+  /** Region of its zone; empty if its row was never read. */
+  RegionName region;
+  StatedRateLimit rate_limit;
+  /** Last answer to this instance that stated the limit, or its end. */
+  MonotonicTime limit_answered;
+  SendPermits permits;
+  TimeSlotPacer pacer;
+};
+
 /** State of one upstream as tracked by this instance. */
-struct TrackedUpstream {
+struct TrackedUpstream : UpstreamRateState {
   UpstreamRegistration registration;
-  RegionName region;
   MonotonicTime registered;
   /** Requests of this instance in flight at it, or waiting for a connection. */
   int in_flight = 0;
@@ -63,12 +79,7 @@
   MonotonicTime avoid_until;
   int connect_failures = 0;
 
-  StatedRateLimit rate_limit;
-  /** Last answer to this instance that stated the limit, or its end. */
-  MonotonicTime limit_answered;
-  SendPermits permits;
   MonotonicTime cold_until;
-  TimeSlotPacer pacer;
   RecentObjects objects;
 };
 
@@ -92,13 +103,17 @@
  */
 class UpstreamTable {
  public:
+  /** Time for which the rate state of an upstream without a row is kept, well
+   * above the length of outages of the store. */
+  static constexpr Duration kRateMemory = Seconds(600);
+
   /** Adds an upstream or applies its new row. `region` is that of its zone. */
   void OnRegistered(const UpstreamRegistration& registration,
                     const RegionName& region,
                     MonotonicTime now);
   /** Marks an upstream as removed, and erases it once it has no request in
-   * flight. */
-  void MarkRemoved(const UpstreamId& id);
+   * flight. Its rate state is kept for kRateMemory. */
+  void MarkRemoved(const UpstreamId& id, MonotonicTime now);
   void SetEvacuated(const ZoneName& zone, bool evacuated);
 
   /** Returns an upstream, or null. The pointer is valid until the next call
@@ -107,6 +122,12 @@
   const TrackedUpstream* Find(const UpstreamId& id) const;
   /** Returns the upstream with this StableHash of its id, or null. */
   TrackedUpstream* FindByHash(std::uint64_t upstream_hash);
+  /** Returns the rate state of the upstream with this StableHash of its id,
+   * whether or not it is registered. The reference is valid until the next call
+   * that isn't const. */
+  UpstreamRateState& RateState(std::uint64_t upstream_hash, MonotonicTime now);
+  /** Discards the retained rate states that are older than kRateMemory. */
+  void ForgetRates(MonotonicTime now);
 
   /** Returns a service's upstreams, sorted by id. The reference and the
    * pointers are valid until the next call that isn't const. */
@@ -175,7 +196,10 @@
                  double others,
                  std::int32_t work_time_percent,
                  MonotonicTime reported);
-  void RemoveIfUnused(const UpstreamId& id);
+  void RemoveIfUnused(const UpstreamId& id, MonotonicTime now);
+  /** Removes and returns the retained rate state of an upstream, or an empty
+   * one. */
+  UpstreamRateState TakeRetainedRate(const UpstreamId& id);
   void RemoveFromService(const ServiceName& service, const UpstreamId& id);
 
   std::map<UpstreamId, TrackedUpstream> m_upstreams;
@@ -184,6 +208,14 @@
       m_services;
   /** Upstreams by StableHash of their id. */
   absl::flat_hash_map<std::uint64_t, UpstreamId> m_by_hash;
+  /** Rate state of an upstream that isn't registered. */
+  struct RetainedRate {
+    UpstreamRateState state;
+    MonotonicTime since;
+  };
+
+  /** By StableHash of the upstream's id. */
+  absl::flat_hash_map<std::uint64_t, RetainedRate> m_retained_rates;
   std::set<ZoneName> m_evacuated;
 };
 
