--- a/src/dispatch/request_dispatcher.cc
+++ b/src/dispatch/request_dispatcher.cc
@@ -97,6 +97,7 @@
   const bool moved =
       known != nullptr && known->registration.address != registration.address;
   m_upstreams.OnRegistered(registration, region, context.Now());
+  m_rate_limiter.OnRegistered(context, registration.id);
   if (moved || registration.draining) {
     m_connections.CloseIdle(context, registration.id);
   }
@@ -104,7 +105,7 @@
 }
 
 void RequestDispatcher::OnUpstreamGone(Context& context, const UpstreamId& id) {
-  m_upstreams.MarkRemoved(id);
+  m_upstreams.MarkRemoved(id, context.Now());
   m_connections.CloseIdle(context, id);
 }
 
@@ -352,6 +353,10 @@
   send.upstream = choice.upstream;
   send.started = now;
   send.choice = std::move(choice);
+  if (upstream.rate_limit.Rate()) {
+    send.allowance =
+        has_permit ? SendAllowance::kPermit : SendAllowance::kTimeSlot;
+  }
   m_overflow.OnPlaced(send.choice.overflow, now);
   m_upstreams.OnStarted(send.upstream);
   const std::optional<ConnectionId> idle =
