Framing: a message whose end is uncertain gets 400 or breaks its connection

Cause: Beast's parser takes such a request for one without a body, and the header is dropped when it is passed on. The parser accepts more than RFC 9112 does: coding lists, Transfer-Encoding with HTTP/1.0, repeated and list lengths, folded headers, bytes above 127 in a target, CONNECT, a missing or repeated Host, trailers merged into the headers (also Host). Requests with a bare line feed waited for the idle timeout. HttpConnection had the same faults for answers, and took a 101 for an interim answer. IsValidTarget compared plain chars, whose sign differs between x86-64 and arm64. Change: MessageFraming reads every byte of a message beside the parser and accepts only what all recipients delimit in the same way; CheckedBuffer feeds it and compares the end of the message with the parser's. A request with a problem gets 400, the connection ends, and nothing is passed on; this holds for all servers, which share RequestServer. An answer with a problem breaks its connection (log line answer_framing_invalid). Headers come from MessageFraming, without trailers. A caller's answer to HEAD takes its Content-Length only if it is a number.

--- a/src/runtime/beast_message.cc
+++ b/src/runtime/beast_message.cc
@@ -1,5 +1,6 @@
 #include "runtime/beast_message.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -29,15 +30,6 @@
 
 }  // namespace
 
-std::vector<HttpHeader> CopyHeaders(const http::fields& fields) {
-  std::vector<HttpHeader> headers;
-  for (const auto& field : fields) {
-    headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  return headers;
-}
-
 BeastResponse ToBeast(HttpAnswer answer, bool keep_alive, bool is_head) {
   if (answer.status < 200 || answer.status > 599) {
     answer.status = kBadGateway;
@@ -53,7 +45,11 @@
   response.prepare_payload();
   if (is_head && MayHaveBody(answer.status)) {
     const std::string length = FindHeader(answer.headers, "Content-Length");
-    if (!length.empty()) {
+    const bool is_number =
+        !length.empty() &&
+        std::all_of(length.begin(), length.end(),
+                    [](char c) { return c >= '0' && c <= '9'; });
+    if (is_number) {
       response.set(http::field::content_length, length);
     }
   }
--- a/src/runtime/beast_message.h
+++ b/src/runtime/beast_message.h
@@ -3,9 +3,7 @@
 
 #include <string>
 #include <string_view>
-#include <vector>
 
-#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -18,9 +16,6 @@
 using BeastResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-/** Returns all headers of a message in their order. */
-std::vector<HttpHeader> CopyHeaders(const boost::beast::http::fields& fields);
-
 /** Converts an answer to a Beast response. Invalid headers and
  * connection-specific headers are omitted; a status outside 200 to 599 becomes
  * 502. */
--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -12,13 +12,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "runtime/beast_message.h"
+#include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
 #include "runtime/log_line.h"
 #include "runtime/network_address.h"
@@ -202,6 +202,7 @@
     m_parser->header_limit(kMaxHeaderBytes);
     m_parser->body_limit(m_max_answer_bytes);
     m_parser->skip(m_is_head);
+    m_buffer.BeginAnswer(m_is_head);
     ReadMore();
   }
 
@@ -218,7 +219,7 @@
     if (m_state != ConnectionState::kBusy) {
       return;
     }
-    if (error || !ReserveBody()) {
+    if (error || !IsFramingValid() || !ReserveBody()) {
       Fail();
     } else if (m_parser->is_done()) {
       OnAnswer();
@@ -227,6 +228,18 @@
     }
   }
 
+  bool IsFramingValid() const {
+    const FramingProblem problem =
+        m_parser->is_done() ? m_buffer.ProblemOfWhole() : m_buffer.Problem();
+    if (problem == FramingProblem::kNone) {
+      return true;
+    }
+    LogWarning(LogLine("answer_framing_invalid")
+                   .Add("problem", ToString(problem))
+                   .Add("status", m_parser->get().result_int()));
+    return false;
+  }
+
   bool ReserveBody() {
     const std::string& body = m_parser->get().body();
     if (m_reserved.GrowTo(body.capacity())) {
@@ -244,10 +257,11 @@
       return;
     }
     HttpResult result;
-    result.keep_alive = m_parser->get().keep_alive() && m_buffer.size() == 0 &&
+    result.keep_alive = m_parser->get().keep_alive() &&
+                        !m_buffer.IsUntilClose() && m_buffer.size() == 0 &&
                         !m_writing && !m_has_stray_answers;
     result.answer.status = static_cast<int>(m_parser->get().result_int());
-    result.answer.headers = CopyHeaders(m_parser->get());
+    result.answer.headers = m_buffer.TakeHeaders();
     result.answer.body = std::move(m_parser->get().body());
     if (m_belongs && !m_belongs(result.answer)) {
       SkipAnswer();
@@ -311,7 +325,7 @@
   std::shared_ptr<ByteBudget> m_budget;
   /** Memory for the body. */
   ByteReservation m_reserved;
-  beast::flat_buffer m_buffer{kMaxUnparsedBytes};
+  CheckedBuffer m_buffer{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> m_parser;
   /** Incremented to invalidate a pending wait for readable data. */
   std::uint64_t m_generation = 0;
--- a/src/runtime/http_fields.cc
+++ b/src/runtime/http_fields.cc
@@ -92,7 +92,7 @@
 bool IsValidTarget(std::string_view target) {
   return !target.empty() && target.size() <= kMaxHeaderBytes &&
          std::all_of(target.begin(), target.end(),
-                     [](char c) { return c > ' ' && c != '\x7f'; });
+                     [](char c) { return c > ' ' && c < '\x7f'; });
 }
 
 std::string FindQueryParameter(std::string_view target, std::string_view name) {
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -14,7 +14,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -22,6 +21,7 @@
 
 #include "runtime/beast_message.h"
 #include "runtime/byte_budget.h"
+#include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
 #include "runtime/network_address.h"
 
@@ -130,6 +130,7 @@
         static_cast<std::uint32_t>(m_state->limits.max_header_bytes));
     m_parser->body_limit(m_state->limits.max_body_bytes);
     m_buffer.max_size(m_state->limits.max_header_bytes + kReadAheadBytes);
+    m_buffer.BeginRequest();
     m_stream.expires_after(m_state->limits.idle);
     http::async_read_header(
         m_stream, m_buffer, *m_parser,
@@ -163,7 +164,7 @@
 
  private:
   void OnHeader(const error_code& error) {
-    if (error) {
+    if (error || m_buffer.Problem() != FramingProblem::kNone) {
       OnReadError(error);
       return;
     }
@@ -187,15 +188,15 @@
 
   void ReadBody() {
     if (m_parser->is_done()) {
-      OnBody({});
+      OnBody();
       return;
     }
     m_stream.expires_after(m_state->limits.idle);
     http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          if (error) {
-            self->OnBody(error);
+          if (error || self->m_buffer.Problem() != FramingProblem::kNone) {
+            self->OnReadError(error);
           } else if (!self->m_reserved.GrowTo(
                          self->m_parser->get().body().size())) {
             self->RefuseBody();
@@ -223,19 +224,26 @@
   void OnReadError(const error_code& error) {
     m_reading = false;
     m_reserved.Release();
-    if (IsParseError(error)) {
+    const FramingProblem problem = m_buffer.Problem();
+    if (problem != FramingProblem::kNone) {
+      Write(m_state->handler->OnMalformed(kBadRequest, ToString(problem)),
+            false);
+    } else if (IsParseError(error)) {
       Write(m_state->handler->OnMalformed(StatusOfParseError(error),
                                           error.message()),
             false);
     }
   }
 
-  void OnBody(const error_code& error) {
-    if (error) {
-      OnReadError(error);
+  void OnBody() {
+    m_reading = false;
+    if (const FramingProblem problem = m_buffer.ProblemOfWhole();
+        problem != FramingProblem::kNone) {
+      m_reserved.Release();
+      Write(m_state->handler->OnMalformed(kBadRequest, ToString(problem)),
+            false);
       return;
     }
-    m_reading = false;
     m_stream.expires_never();
     const BeastRequest& message = m_parser->get();
     ServedRequest request;
@@ -243,7 +251,7 @@
     request.remote_address = m_remote;
     request.http.method = std::string(message.method_string());
     request.http.target = std::string(message.target());
-    request.http.headers = CopyHeaders(message);
+    request.http.headers = m_buffer.TakeHeaders();
     request.http.body = std::move(m_parser->get().body());
     m_exchange = request.exchange.number;
     m_state->waiting[m_exchange] = shared_from_this();
@@ -331,7 +339,7 @@
   beast::tcp_stream m_stream;
   std::shared_ptr<ServerState> m_state;
   std::string m_remote;
-  beast::flat_buffer m_buffer;
+  CheckedBuffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<BeastResponse> m_response;
   std::string m_discarded;
