Connections: close in any Connection header ends the connection

Callers saw: a connection with `close` in a second Connection header stayed open, and requests after it were read; an upstream's connection was used again though the upstream closed it, so that a send could be lost. Cause: keep_alive() of Beast's message reads the first Connection header only. Change: MessageFraming reads the options of all Connection headers; RequestServer and HttpConnection use them. Tests: "A connection ends if any Connection header says so" failed before (two requests were read; the answer's connection was kept).

--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -257,8 +257,7 @@
       return;
     }
     HttpResult result;
-    result.keep_alive = m_parser->get().keep_alive() &&
-                        !m_buffer.IsUntilClose() && m_buffer.size() == 0 &&
+    result.keep_alive = m_buffer.KeepsConnection() && m_buffer.size() == 0 &&
                         !m_writing && !m_has_stray_answers;
     result.answer.status = static_cast<int>(m_parser->get().result_int());
     result.answer.headers = m_buffer.TakeHeaders();
@@ -280,7 +279,7 @@
   /** Discards an answer that belongs to an earlier request and reads the next
    * one. */
   void SkipAnswer() {
-    const bool last = !m_parser->get().keep_alive();
+    const bool last = !m_buffer.KeepsConnection();
     m_has_stray_answers = true;
     if (last) {
       Fail();
--- a/src/runtime/message_framing.cc
+++ b/src/runtime/message_framing.cc
@@ -136,6 +136,8 @@
   m_problem = FramingProblem::kNone;
   m_part = Part::kStartLine;
   m_is_http10 = false;
+  m_close = false;
+  m_keep_alive = false;
   m_method.clear();
   m_status = 0;
   m_headers.clear();
@@ -357,6 +359,8 @@
     } else if (IsSameHeader(header.name, "Transfer-Encoding")) {
       ++codings;
       chunked = IsSameHeader(header.value, "chunked");
+    } else if (IsSameHeader(header.name, "Connection")) {
+      OnConnectionOptions(header.value);
     }
   }
   if (m_is_request &&
@@ -394,6 +398,17 @@
   }
 }
 
+void MessageFraming::OnConnectionOptions(std::string_view value) {
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    const std::string_view option = TrimBlanks(value.substr(0, comma));
+    m_close = m_close || IsSameHeader(option, "close");
+    m_keep_alive = m_keep_alive || IsSameHeader(option, "keep-alive");
+    value.remove_prefix(comma == std::string_view::npos ? value.size()
+                                                        : comma + 1);
+  }
+}
+
 void MessageFraming::OnLength(std::uint64_t length) {
   m_left = length;
   m_part = length > 0 ? Part::kBody : Part::kComplete;
--- a/src/runtime/message_framing.h
+++ b/src/runtime/message_framing.h
@@ -94,6 +94,11 @@
   bool IsComplete() const { return m_part == Part::kComplete; }
   /** Returns whether the message extends to the end of its connection. */
   bool IsUntilClose() const { return m_part == Part::kUntilClose; }
+  /** Returns whether the connection persists after the message (RFC 9112, 9.3).
+   * Precondition: its head was read. */
+  bool KeepsConnection() const {
+    return !m_close && (m_keep_alive || !m_is_http10) && !IsUntilClose();
+  }
   /** Returns the number of bytes of the message read so far. */
   std::uint64_t Size() const { return m_size; }
 
@@ -129,6 +134,7 @@
   void OnHeadEnd();
   void OnLength(std::uint64_t length);
   void OnChunkLine(std::string_view line);
+  void OnConnectionOptions(std::string_view value);
   bool ReadVersion(std::string_view version);
   bool ReadField(std::string_view line, HttpHeader& field);
 
@@ -137,6 +143,9 @@
   bool m_is_request = true;
   bool m_to_head = false;
   bool m_is_http10 = false;
+  /** Options in the Connection headers. */
+  bool m_close = false;
+  bool m_keep_alive = false;
   std::string m_method;
   std::int32_t m_status = 0;
   std::vector<HttpHeader> m_headers;
--- a/src/runtime/message_framing_test.cc
+++ b/src/runtime/message_framing_test.cc
@@ -247,6 +247,26 @@
   CHECK(requests[2].target == "/3");
 }
 
+// Guards against a request that is read after the client has said that none
+// follows, and against an upstream's connection that is used again though the
+// upstream closes it.
+TEST_CASE("A connection ends if any Connection header says so") {
+  const std::string close =
+      "Connection: keep-alive\r\nConnection: x, Close\r\n";
+  const ScriptedServer server(AnswerOk, ShortIdle());
+  const auto read = ReadAll(server, "GET / HTTP/1.1\r\nHost: h\r\n" + close +
+                                        "\r\n" + std::string(kSmuggled));
+  REQUIRE(read.has_value());
+  CHECK(server.handler.requests.Values().size() == 1);
+  IoThread io;
+  io.Start();
+  const auto answer = ReadAnswer(
+      io, "GET", "HTTP/1.1 200 OK\r\n" + close + "Content-Length: 0\r\n\r\n");
+  io.Stop();
+  REQUIRE(answer.has_value());
+  CHECK_FALSE(answer->keep_alive);
+}
+
 // Guards against a caller that receives bytes of another answer or of none.
 TEST_CASE("An answer whose extent is uncertain breaks its connection") {
   IoThread io;
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -159,7 +159,7 @@
     ++m_generation;
     m_exchange = 0;
     m_stream.expires_after(m_state->limits.idle);
-    Write(std::move(answer), m_parser->get().keep_alive() && !m_state->closing);
+    Write(std::move(answer), m_buffer.KeepsConnection() && !m_state->closing);
   }
 
  private:
