Exceptions: one message fails alone, not the process

Callers saw: one TRACE with a body on a valid route ended the process (SIGABRT), and all requests in flight with it. Cause: Beast's prepare_payload throws for such a request; nothing between the handlers of sessions, connections and clients and the IoThread catches exceptions. Change: TRACE with a body gets 400. RunGuarded catches what leaves the handling of one message, in sessions, HttpConnection, UpstreamClient, CallerApi and StoreClient. Each is logged as message_failed, with the id of the request or of the caller's attempt, and counted in message_failures_total. TRACE is among the drawn methods.

--- a/src/runtime/caller_api.cc
+++ b/src/runtime/caller_api.cc
@@ -9,6 +9,7 @@
 
 #include "base/enum_table.h"
 #include "runtime/http_fields.h"
+#include "runtime/message_guard.h"
 #include "runtime/system_clock.h"
 
 namespace kumquatcove {
@@ -17,6 +18,8 @@
 
 constexpr std::string_view kOutcomeHeader = "Kumquatcove-Outcome";
 constexpr std::string_view kRequestIdHeader = "Kumquatcove-Request-Id";
+/** Status that doesn't say whether the request ran. */
+constexpr std::int32_t kBadGateway = 502;
 
 /** Derives a service name from the service code, the host or the first path
  * segment. Used as a metrics label only. */
@@ -98,7 +101,6 @@
   }
   pending = std::move(found->second);
   m_pending.erase(found);
-  m_requests.erase(pending.exchange.number);
   return true;
 }
 
@@ -108,8 +110,11 @@
     return;
   }
   const RequestId request = found->second;
+  m_requests.erase(found);
   Pending pending;
-  RemovePending(request, pending);
+  if (!RemovePending(request, pending)) {
+    return;
+  }
   m_metrics.Add("callers_gone_total");
   if (!pending.is_lookup) {
     PostDelayed(CallerGone{request});
@@ -130,11 +135,37 @@
   return answer;
 }
 
+HttpAnswer CallerApi::OnFailed(ExchangeId exchange, std::string_view error) {
+  const auto found = m_requests.find(exchange.number);
+  const RequestId request =
+      found != m_requests.end() ? found->second : m_request_ids.Next();
+  ReportMessageFailure("request", FormatRequestId(request), error);
+  if (found != m_requests.end()) {
+    m_requests.erase(found);
+  }
+  Pending pending;
+  if (RemovePending(request, pending) && !pending.is_lookup) {
+    PostDelayed(CallerGone{request});
+  }
+  HttpAnswer answer = MakeErrorAnswer(kBadGateway, "internal error");
+  SetOutcome(answer, Outcome::kUnknown);
+  answer.headers.push_back(
+      {std::string(kRequestIdHeader), FormatRequestId(request)});
+  return answer;
+}
+
 void CallerApi::Execute(AnswerCaller answer) {
   Pending pending;
   if (!RemovePending(answer.request, pending)) {
     return;
   }
+  RunGuarded([&] { WriteAnswer(pending, std::move(answer)); },
+             [&](std::string_view error) {
+               Answer(pending.exchange, OnFailed(pending.exchange, error));
+             });
+}
+
+void CallerApi::WriteAnswer(const Pending& pending, AnswerCaller answer) {
   const Outcome outcome = answer.answer.outcome;
   const RefusalReason reason = answer.answer.reason;
   HttpAnswer http = outcome == Outcome::kRan ? std::move(answer.answer.http)
@@ -153,7 +184,11 @@
     return;
   }
   m_metrics.Add("lookups_total");
-  Answer(pending.exchange, m_dialect.write_lookup(answer.answer));
+  RunGuarded(
+      [&] { Answer(pending.exchange, m_dialect.write_lookup(answer.answer)); },
+      [&](std::string_view error) {
+        Answer(pending.exchange, OnFailed(pending.exchange, error));
+      });
 }
 
 void CallerApi::PostDelayed(Event event) {
@@ -173,6 +208,7 @@
   for (RequestServer* server : m_servers) {
     server->Answer(exchange, answer);
   }
+  m_requests.erase(exchange.number);
 }
 
 void CallerApi::Answer(ExchangeId exchange, HttpAnswer answer) {
--- a/src/runtime/caller_api.h
+++ b/src/runtime/caller_api.h
@@ -42,6 +42,7 @@
   void OnClientDisconnected(ExchangeId exchange) override;
   HttpAnswer OnMalformed(std::int32_t status,
                          std::string_view problem) override;
+  HttpAnswer OnFailed(ExchangeId exchange, std::string_view error) override;
 
   /** Executes an effect of the reducer; unknown requests are ignored. */
   void Execute(AnswerCaller answer);
@@ -62,6 +63,7 @@
   /** Moves the pending request into `pending` and removes it. Returns false if
    * it is not pending. */
   bool RemovePending(RequestId request, Pending& pending);
+  void WriteAnswer(const Pending& pending, AnswerCaller answer);
   void PostDelayed(Event event);
   void Answer(ExchangeId exchange, HttpAnswer answer);
   void AnswerNow(ExchangeId exchange, const HttpAnswer& answer);
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -18,6 +18,7 @@
 #include "runtime/io_thread.h"
 #include "runtime/link_delays.h"
 #include "runtime/log_line.h"
+#include "runtime/message_guard.h"
 #include "runtime/metrics.h"
 #include "runtime/operator_api.h"
 #include "runtime/peer_transport.h"
@@ -202,6 +203,7 @@
     set("upstream_connections", m_upstreams.Connections());
     set("caller_connections_accepted", m_caller_server.AcceptedConnections());
     m_metrics.Add("log_lines_omitted_total", LogOmittedLines());
+    m_metrics.Add("message_failures_total", TakeMessageFailures());
     m_io.PostAfter(kMetricsInterval, [this] { UpdateMetrics(); });
   }
 
--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -21,6 +21,7 @@
 #include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
 #include "runtime/log_line.h"
+#include "runtime/message_guard.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -67,7 +68,7 @@
     const std::optional<NetworkAddress> parsed = ParseNetworkAddress(address);
     if (!parsed) {
       asio::post(m_context, [self = shared_from_this()] {
-        self->OnConnected(asio::error::invalid_argument);
+        self->Guard([&] { self->OnConnected(asio::error::invalid_argument); });
       });
       return;
     }
@@ -76,7 +77,7 @@
         asio::ip::tcp::endpoint(asio::ip::make_address(parsed->host),
                                 parsed->port),
         [self = shared_from_this()](const error_code& error) {
-          self->OnConnected(error);
+          self->Guard([&] { self->OnConnected(error); });
         });
   }
 
@@ -93,11 +94,22 @@
     m_answered = std::move(callback);
     m_is_head = request.method == "HEAD";
     if (!IsValidMethod(request.method) || !IsValidTarget(request.target)) {
-      asio::post(m_context, [self = shared_from_this()] { self->Fail(); });
+      PostFail();
       return;
     }
-    m_request = ToBeast(std::move(request), host);
     m_stream.expires_after(timeout);
+    RunGuarded(
+        [&] {
+          m_request = ToBeast(std::move(request), host);
+          Write();
+        },
+        [this](std::string_view error) {
+          ReportMessageFailure(kIdKey, m_message_id, error);
+          PostFail();
+        });
+  }
+
+  void Write() {
     m_writing = true;
     // A server may answer and close before it has read the whole request, so a
     // write error is ignored; only the read shows whether the exchange failed.
@@ -109,6 +121,8 @@
     ReadAnswer();
   }
 
+  void SetMessageId(std::string id) { m_message_id = std::move(id); }
+
   void Close() {
     m_state = ConnectionState::kClosed;
     ++m_generation;
@@ -129,6 +143,32 @@
   void EnableKeepAlive() { m_keep_alive = true; }
 
  private:
+  static constexpr std::string_view kIdKey = "attempt";
+
+  /** Runs a handler of this connection. An exception fails the exchange in
+   * progress and closes the connection. */
+  template <class Work>
+  void Guard(Work work) {
+    RunGuarded(work, [this](std::string_view error) {
+      ReportMessageFailure(kIdKey, m_message_id, error);
+      RunGuarded(
+          [this] {
+            Fail();
+            Close();
+          },
+          [this](std::string_view next) {
+            ReportMessageFailure(kIdKey, m_message_id, next);
+          });
+    });
+  }
+
+  /** Fails the exchange in progress after the present handler. */
+  void PostFail() {
+    asio::post(m_context, [self = shared_from_this()] {
+      self->Guard([&] { self->Fail(); });
+    });
+  }
+
   void SetKeepAlive() {
     using Seconds = std::chrono::seconds;
     constexpr int kProbeInterval = 1;
@@ -180,7 +220,7 @@
         [self = shared_from_this(),
          generation = m_generation](const error_code&) {
           if (self->m_generation == generation) {
-            self->OnReadableWhileIdle();
+            self->Guard([&] { self->OnReadableWhileIdle(); });
           }
         });
   }
@@ -211,7 +251,7 @@
     http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnRead(error);
+          self->Guard([&] { self->OnRead(error); });
         });
   }
 
@@ -298,7 +338,7 @@
   }
 
   void Fail() {
-    if (m_state != ConnectionState::kBusy) {
+    if (m_state != ConnectionState::kBusy || !m_answered) {
       return;
     }
     const AnsweredCallback callback = std::exchange(m_answered, nullptr);
@@ -314,6 +354,7 @@
   AnsweredCallback m_answered;
   LostCallback m_idle_lost;
   BeastRequest m_request;
+  std::string m_message_id;
   BelongsFunction m_belongs;
   bool m_is_head = false;
   bool m_writing = false;
@@ -368,6 +409,10 @@
   m_implementation->Close();
 }
 
+void HttpConnection::SetMessageId(std::string id) {
+  m_implementation->SetMessageId(std::move(id));
+}
+
 bool HttpConnection::IsIdle() const {
   return m_implementation->IsIdle();
 }
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -83,6 +83,9 @@
 
   bool IsIdle() const;
 
+  /** Sets the id under which failures of the next exchanges are logged. */
+  void SetMessageId(std::string id);
+
  private:
   class Implementation;
   std::shared_ptr<Implementation> m_implementation;
--- a/src/runtime/http_handler.h
+++ b/src/runtime/http_handler.h
@@ -44,6 +44,11 @@
   /** Returns the answer to input that is not a valid request. */
   virtual HttpAnswer OnMalformed(std::int32_t status,
                                  std::string_view problem) = 0;
+
+  /** Reports an exception that left the handling of a request, and returns the
+   * error for its client; the exchange is no longer pending. `exchange` is 0 if
+   * no request was read. */
+  virtual HttpAnswer OnFailed(ExchangeId exchange, std::string_view error);
 };
 
 }  // namespace kumquatcove
--- a/src/runtime/message_framing.cc
+++ b/src/runtime/message_framing.cc
@@ -383,7 +383,7 @@
   const bool states_body = chunked || length.value_or(0) > 0;
   const bool bodiless =
       !m_is_request && (m_status < kFirstFinalStatus || m_status == kNoContent);
-  if (bodiless && states_body) {
+  if (states_body && (bodiless || m_method == "TRACE")) {
     Fail(FramingProblem::kForbiddenBody);
     return;
   }
--- a/src/runtime/message_framing_test.cc
+++ b/src/runtime/message_framing_test.cc
@@ -186,6 +186,10 @@
            std::string("GET /\xff HTTP/1.1\r\nHost: h\r\n\r\n"),
            std::string("GET /\x7f HTTP/1.1\r\nHost: h\r\n\r\n"),
            std::string("CONNECT / HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("TRACE / HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 1\r\n\r\nx"),
+           std::string("TRACE / HTTP/1.1\r\nHost: h\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
            std::string("GET / HTTP/1.1\r\n\r\n"),
            std::string("GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n"),
            std::string("GET / HTTP/1.1\r\nHost: a b\r\n\r\n"),
@@ -449,7 +453,7 @@
 
 std::string DrawRequest(Chooser& chooser) {
   return Join(
-      {chooser.Pick({"GET", "POST", "PUT", "HEAD"},
+      {chooser.Pick({"GET", "POST", "PUT", "HEAD", "TRACE"},
                     {"", "P OST", "G\x01T", "CONNECT", "\r\nGET", " GET"}),
        chooser.Pick({" "}, {"  ", "\t"}),
        chooser.Pick({"/", "/a?b=c", "/%00", "*"},
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -23,6 +23,7 @@
 #include "runtime/byte_budget.h"
 #include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
+#include "runtime/message_guard.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -135,7 +136,7 @@
     http::async_read_header(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnHeader(error);
+          self->Guard([&] { self->OnHeader(error); });
         });
   }
 
@@ -149,20 +150,52 @@
   /** Refuses the connection because the connection limit is reached. */
   void Refuse() {
     m_stream.expires_after(m_state->limits.idle);
-    Write(m_state->handler->OnMalformed(kServiceUnavailable,
-                                        "too many connections"),
-          false);
+    Guard([this] {
+      Write(m_state->handler->OnMalformed(kServiceUnavailable,
+                                          "too many connections"),
+            false);
+    });
   }
 
   void Answer(HttpAnswer answer) {
     m_reserved.Release();
     ++m_generation;
-    m_exchange = 0;
     m_stream.expires_after(m_state->limits.idle);
-    Write(std::move(answer), m_buffer.KeepsConnection() && !m_state->closing);
+    Guard([&] {
+      Write(std::move(answer), m_buffer.KeepsConnection() && !m_state->closing);
+    });
+    m_exchange = 0;
   }
 
  private:
+  /** Runs a handler of this session. An exception becomes an error for the
+   * client, and the connection is closed. */
+  template <class Work>
+  void Guard(Work work) {
+    RunGuarded(work, [this](std::string_view error) { OnFailed(error); });
+  }
+
+  void OnFailed(std::string_view error) {
+    const ExchangeId failed{std::exchange(m_exchange, 0)};
+    m_reading = false;
+    m_reserved.Release();
+    ++m_generation;
+    m_state->waiting.erase(failed.number);
+    const bool can_answer = !m_writing && !m_failed;
+    m_failed = true;
+    RunGuarded(
+        [&] {
+          HttpAnswer answer = m_state->handler->OnFailed(failed, error);
+          if (can_answer) {
+            m_stream.expires_after(m_state->limits.idle);
+            Write(std::move(answer), false);
+          } else {
+            CloseSocket();
+          }
+        },
+        [this](std::string_view) { CloseSocket(); });
+  }
+
   void OnHeader(const error_code& error) {
     if (error || m_buffer.Problem() != FramingProblem::kNone) {
       OnReadError(error);
@@ -178,7 +211,7 @@
           m_stream, asio::buffer(kContinue.data(), kContinue.size()),
           [self = shared_from_this()](const error_code& failed, std::size_t) {
             if (!failed) {
-              self->ReadBody();
+              self->Guard([&] { self->ReadBody(); });
             }
           });
       return;
@@ -195,17 +228,20 @@
     http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          if (error || self->m_buffer.Problem() != FramingProblem::kNone) {
-            self->OnReadError(error);
-          } else if (!self->m_reserved.GrowTo(
-                         self->m_parser->get().body().size())) {
-            self->RefuseBody();
-          } else {
-            self->ReadBody();
-          }
+          self->Guard([&] { self->OnBodyPart(error); });
         });
   }
 
+  void OnBodyPart(const error_code& error) {
+    if (error || m_buffer.Problem() != FramingProblem::kNone) {
+      OnReadError(error);
+    } else if (!m_reserved.GrowTo(m_parser->get().body().size())) {
+      RefuseBody();
+    } else {
+      ReadBody();
+    }
+  }
+
   /** Refuses a request whose body exceeds the available body memory. */
   void RefuseBody() {
     m_reading = false;
@@ -266,7 +302,7 @@
         [self = shared_from_this(),
          generation = m_generation](const error_code& error) {
           if (self->m_generation == generation) {
-            self->OnReadableWhileWaiting(error);
+            self->Guard([&] { self->OnReadableWhileWaiting(error); });
           }
         });
   }
@@ -298,11 +334,14 @@
     const bool is_head = m_parser && m_parser->is_header_done() &&
                          m_parser->get().method() == http::verb::head;
     m_response.emplace(ToBeast(std::move(answer), keep_alive, is_head));
-    http::async_write(m_stream, *m_response,
-                      [self = shared_from_this(), keep_alive](
-                          const error_code& error, std::size_t) {
-                        self->OnWritten(error, keep_alive);
-                      });
+    m_writing = true;
+    http::async_write(
+        m_stream, *m_response,
+        [self = shared_from_this(), keep_alive](const error_code& error,
+                                                std::size_t) {
+          self->m_writing = false;
+          self->Guard([&] { self->OnWritten(error, keep_alive); });
+        });
   }
 
   void OnWritten(const error_code& error, bool keep_alive) {
@@ -348,6 +387,10 @@
   ByteReservation m_reserved;
   /** Number of the unanswered exchange, or 0. */
   std::uint64_t m_exchange = 0;
+  /** Whether an answer is being written. */
+  bool m_writing = false;
+  /** Whether an exception left a handler; the connection then ends. */
+  bool m_failed = false;
   /** Whether the session is waiting for or reading a request. */
   bool m_reading = false;
   /** Incremented to invalidate a pending wait for readable data. */
--- a/src/runtime/store_client.cc
+++ b/src/runtime/store_client.cc
@@ -9,6 +9,7 @@
 
 #include "base/json_codec.h"
 #include "runtime/log_line.h"
+#include "runtime/message_guard.h"
 
 namespace kumquatcove {
 
@@ -85,7 +86,10 @@
                    const std::optional<HttpAnswer>& answer) {
     StoreReply reply;
     if (answer) {
-      reply = m_dialect.read_reply(operation, *answer);
+      RunGuarded([&] { reply = m_dialect.read_reply(operation, *answer); },
+                 [](std::string_view error) {
+                   ReportMessageFailure("operation", "", error);
+                 });
     }
     m_metrics.Add("store_replies_" + std::string(ToString(reply.status)) +
                   "_total");
--- a/src/runtime/strict_http_reader.h
+++ b/src/runtime/strict_http_reader.h
@@ -159,6 +159,10 @@
       return StrictResult::kInvalid;
     }
     const std::uint64_t length = lengths.empty() ? 0 : std::stoull(lengths[0]);
+    // A client must not send a body with TRACE (RFC 9110, 9.3.8).
+    if (message.method == "TRACE" && (chunked || length > 0)) {
+      return StrictResult::kInvalid;
+    }
     if (!is_request) {
       const std::string& status = message.target;
       const bool bodiless = status[0] == '1' || status == "204";
--- a/src/runtime/upstream_client.cc
+++ b/src/runtime/upstream_client.cc
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 
 #include "runtime/http_fields.h"
+#include "runtime/message_guard.h"
 #include "runtime/system_clock.h"
 
 namespace kumquatcove {
@@ -148,8 +149,11 @@
     ReportLost(id);
     return;
   }
+  connection.attempt = effect.attempt;
   HttpRequest request = std::move(effect.http);
-  m_dialect.write_request(effect, request);
+  if (!GuardConnection(id, [&] { m_dialect.write_request(effect, request); })) {
+    return;
+  }
   const std::string host =
       request.host.empty() ? connection.address : request.host;
   // The process may have been paused since the reducer made its decision, so
@@ -159,6 +163,7 @@
     return;
   }
   connection.written = true;
+  connection.http->SetMessageId(effect.attempt);
   const auto belongs = [this, attempt = effect.attempt](const HttpAnswer& a) {
     return m_dialect.belongs(attempt, a);
   };
@@ -184,7 +189,13 @@
   UpstreamAnswered event;
   event.connection = connection;
   event.keep_alive = result->keep_alive;
-  if (!m_dialect.read_answer(result->answer, event)) {
+  bool usable = false;
+  if (!GuardConnection(connection, [&] {
+        usable = m_dialect.read_answer(result->answer, event);
+      })) {
+    return;
+  }
+  if (!usable) {
     ReportLost(connection);
     return;
   }
@@ -196,6 +207,17 @@
   m_events.Post(std::move(event));
 }
 
+bool UpstreamClient::GuardConnection(ConnectionId connection,
+                                     const std::function<void()>& work) {
+  bool done = true;
+  RunGuarded(work, [&](std::string_view error) {
+    done = false;
+    ReportMessageFailure("attempt", m_connections[connection].attempt, error);
+    ReportLost(connection);
+  });
+  return done;
+}
+
 void UpstreamClient::Close(ConnectionId connection) {
   m_connections.erase(connection);
 }
--- a/src/runtime/upstream_client.h
+++ b/src/runtime/upstream_client.h
@@ -57,6 +57,8 @@
     Duration delay{0};
     /** Whether a request has been written and is still unanswered. */
     bool written = false;
+    /** Id of the caller's send that the last request belongs to. */
+    std::string attempt;
   };
   struct ProbeState;
 
@@ -66,6 +68,10 @@
   void SendNow(SendUpstream effect);
   void OnAnswered(ConnectionId connection, std::optional<HttpResult> result);
   void ReportLost(ConnectionId connection);
+  /** Runs work on a message of a connection, which is reported as lost after an
+   * exception. Returns whether the work completed. */
+  bool GuardConnection(ConnectionId connection,
+                       const std::function<void()>& work);
   void RunAfter(Duration delay, std::function<void()> work);
   void FinishProbe(std::uint64_t probe);
   void OnHealth(std::uint64_t probe, const std::optional<HttpResult>& result);
