Headers: those named in Connection aren't passed on

Callers saw: a header that Connection names, which concerns one connection, reached the upstream, and an upstream's reached the caller. Cause: only a fixed list of names was left out. Change: RemoveHeadersNamedInConnection, for requests in both dialects after the steering headers are read, and for answers once the dialect has read them. The drawn requests check it too.

--- a/src/platform/user_platform_dialect.cc
+++ b/src/platform/user_platform_dialect.cc
@@ -84,6 +84,7 @@
   if (absl::SimpleAtoi(deadline, &milliseconds) && milliseconds >= 0) {
     http.deadline = Milliseconds(milliseconds);
   }
+  RemoveHeadersNamedInConnection(http.headers);
   std::erase_if(http.headers, [](const HttpHeader& header) {
     return IsSameHeader(header.name, kDeadlineHeader) ||
            IsSameHeader(header.name, kExpectedUpstreamHeader) ||
--- a/src/platform/user_platform_dialect_test.cc
+++ b/src/platform/user_platform_dialect_test.cc
@@ -57,6 +57,26 @@
   CHECK(FindHeader(event.http.headers, "Deadline-Ms").empty());
 }
 
+// Guards against a header for one connection that steers the upstream.
+TEST_CASE("Headers that concern one connection aren't forwarded") {
+  RequestArrived event;
+  event.http.headers = {{"Connection", "x-hop , close"},
+                        {"connection", "Host,X-Other-Hop"},
+                        {"Host", "h.example"},
+                        {"X-Hop", "1"},
+                        {"X-Other-Hop", "2"},
+                        {"Keep-Alive", "timeout=5"},
+                        {"Proxy-Connection", "close"},
+                        {"TE", "trailers"},
+                        {"Trailer", "T"},
+                        {"Transfer-Encoding", "chunked"},
+                        {"Upgrade", "h2c"},
+                        {"X-Kept", "3"}};
+  CHECK_FALSE(Dialect().callers.read_request(event).has_value());
+  CHECK(event.http.host == "h.example");
+  CHECK(event.http.headers == std::vector<HttpHeader>{{"X-Kept", "3"}});
+}
+
 TEST_CASE("A send names its deadline and the upstream that is expected") {
   SendUpstream effect;
   effect.patience = Milliseconds(700);
--- a/src/runtime/daemon_test.cc
+++ b/src/runtime/daemon_test.cc
@@ -194,6 +194,18 @@
   CHECK(seen.http.headers == std::vector<HttpHeader>{{"A", "1"}});
 }
 
+TEST_CASE("Headers named in Connection aren't forwarded") {
+  DaemonFixture daemon;
+  DaemonFixture::Exchange(
+      daemon.caller_port,
+      "GET /x HTTP/1.1\r\nHost: shop\r\nConnection: A, keep-alive\r\n"
+      "A: 1\r\nB: 2\r\n\r\n",
+      "body");
+  const auto seen =
+      std::get<RequestArrived>(daemon.reducer.seen.Values().back());
+  CHECK(seen.http.headers == std::vector<HttpHeader>{{"B", "2"}});
+}
+
 TEST_CASE("An invalid deadline is refused as did-not-run before the reducer") {
   DaemonFixture daemon;
   const std::string read = DaemonFixture::Exchange(
--- a/src/runtime/http_fields.cc
+++ b/src/runtime/http_fields.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -78,6 +80,24 @@
   });
 }
 
+void RemoveHeadersNamedInConnection(std::vector<HttpHeader>& headers) {
+  std::vector<std::string> names;
+  for (const HttpHeader& header : headers) {
+    if (!IsSameHeader(header.name, "Connection")) {
+      continue;
+    }
+    for (const absl::string_view name : absl::StrSplit(header.value, ',')) {
+      names.emplace_back(absl::StripAsciiWhitespace(name));
+    }
+  }
+  std::erase_if(headers, [&](const HttpHeader& header) {
+    return std::any_of(names.begin(), names.end(),
+                       [&](const std::string& name) {
+                         return IsSameHeader(header.name, name);
+                       });
+  });
+}
+
 bool IsValidHeader(const HttpHeader& header) {
   return IsToken(header.name) && header.value.size() <= kMaxHeaderBytes &&
          std::none_of(header.value.begin(), header.value.end(), [](char c) {
--- a/src/runtime/http_fields.h
+++ b/src/runtime/http_fields.h
@@ -21,6 +21,10 @@
  * each message, and so must not be forwarded. */
 bool IsConnectionHeader(std::string_view name);
 
+/** Removes the headers that a Connection header names, which concern only one
+ * connection (RFC 9110, 7.6.1). */
+void RemoveHeadersNamedInConnection(std::vector<HttpHeader>& headers);
+
 /** Returns whether name and value can be written to a message without changing
  * its structure. Needed for headers received from peers, which no HTTP parser
  * has checked. */
--- a/src/runtime/message_framing_test.cc
+++ b/src/runtime/message_framing_test.cc
@@ -21,7 +21,9 @@
 #include "runtime/http_connection.h"
 #include "runtime/http_fields.h"
 #include "runtime/strict_http_reader.h"
+#include "runtime/system_clock.h"
 #include "runtime/test_support.h"
+#include "runtime/upstream_client.h"
 
 namespace kumquatcove {
 namespace {
@@ -330,6 +332,35 @@
   io.Stop();
 }
 
+TEST_CASE("An upstream's headers that concern one connection aren't returned") {
+  const OneAnswerServer upstream(
+      "HTTP/1.1 200 OK\r\nConnection: A, close\r\nA: 1\r\nB: 2\r\n"
+      "Keep-Alive: timeout=5\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\nx");
+  IoThread io;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
+  io.Start();
+  constexpr ConnectionId kConnection{1};
+  io.Post([&] {
+    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  SendUpstream effect{kConnection,
+                      ReadSystemClock().monotonic + kAnswerTimeout,
+                      kAnswerTimeout,
+                      {}};
+  effect.http.method = "GET";
+  effect.http.target = "/";
+  io.Post([&] { client.Send(effect); });
+  const auto answered = events.Get<UpstreamAnswered>(1);
+  REQUIRE(answered.has_value());
+  io.Stop();
+  std::ostringstream out;
+  out << ToBeast(answered->answer, true, false);
+  CHECK(out.str() == "HTTP/1.1 200 OK\r\nB: 2\r\nContent-Length: 1\r\n\r\nx");
+}
+
 namespace {
 
 /** Chooses parts of a message by drawn bytes; those that are missing choose the
@@ -484,6 +515,13 @@
                DrawFramedRest(chooser)});
 }
 
+bool HasHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
+  return std::any_of(headers.begin(), headers.end(),
+                     [&](const HttpHeader& header) {
+                       return IsSameHeader(header.name, name);
+                     });
+}
+
 bool EndsConnection(const StrictMessage& message) {
   bool close = message.is_http10;
   for (const HttpHeader& header : message.headers) {
@@ -498,7 +536,8 @@
 }
 
 /** Checks with the strict reader what an upstream gets for a request. */
-void CheckPassedOn(const HttpRequest& request) {
+void CheckPassedOn(HttpRequest request) {
+  RemoveHeadersNamedInConnection(request.headers);
   std::ostringstream out;
   out << ToBeast(request, "h");
   const std::string sent = out.str();
@@ -509,6 +548,10 @@
   RC_ASSERT(message.method == request.method);
   RC_ASSERT(message.target == request.target);
   RC_ASSERT(message.body == request.body);
+  for (const char* name : {"X-Hop", "Connection", "Keep-Alive", "TE", "Upgrade",
+                           "Trailer", "Proxy-Connection"}) {
+    RC_ASSERT(!HasHeader(message.headers, name));
+  }
 }
 
 }  // namespace
--- a/src/runtime/platform_dialect.cc
+++ b/src/runtime/platform_dialect.cc
@@ -48,6 +48,7 @@
   request.service_code = FindHeader(request.headers, kServiceHeader);
   request.idempotency_key = FindHeader(request.headers, kKeyHeader);
   const std::string deadline = FindHeader(request.headers, kDeadlineHeader);
+  RemoveHeadersNamedInConnection(request.headers);
   std::erase_if(request.headers, [](const HttpHeader& header) {
     return IsSteeringHeader(header.name) || IsConnectionHeader(header.name);
   });
--- a/src/runtime/upstream_client.cc
+++ b/src/runtime/upstream_client.cc
@@ -200,6 +200,7 @@
     return;
   }
   m_connections[connection].written = false;
+  RemoveHeadersNamedInConnection(result->answer.headers);
   event.answer = std::move(result->answer);
   if (!event.keep_alive) {
     m_connections.erase(connection);
