--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -12,15 +12,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "runtime/beast_message.h"
+#include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
 #include "runtime/log_line.h"
+#include "runtime/message_guard.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -67,7 +68,7 @@
     const std::optional<NetworkAddress> parsed = ParseNetworkAddress(address);
     if (!parsed) {
       asio::post(m_context, [self = shared_from_this()] {
-        self->OnConnected(asio::error::invalid_argument);
+        self->Guard([&] { self->OnConnected(asio::error::invalid_argument); });
       });
       return;
     }
@@ -76,7 +77,7 @@
         asio::ip::tcp::endpoint(asio::ip::make_address(parsed->host),
                                 parsed->port),
         [self = shared_from_this()](const error_code& error) {
-          self->OnConnected(error);
+          self->Guard([&] { self->OnConnected(error); });
         });
   }
 
@@ -93,11 +94,22 @@
     m_answered = std::move(callback);
     m_is_head = request.method == "HEAD";
     if (!IsValidMethod(request.method) || !IsValidTarget(request.target)) {
-      asio::post(m_context, [self = shared_from_this()] { self->Fail(); });
+      PostFail();
       return;
     }
-    m_request = ToBeast(std::move(request), host);
     m_stream.expires_after(timeout);
+    RunGuarded(
+        [&] {
+          m_request = ToBeast(std::move(request), host);
+          Write();
+        },
+        [this](std::string_view error) {
+          ReportMessageFailure(kIdKey, m_message_id, error);
+          PostFail();
+        });
+  }
+
+  void Write() {
     m_writing = true;
     m_has_request = true;
     // A server may answer and close before it has read the whole request, so a
@@ -110,6 +122,8 @@
     ReadAnswer();
   }
 
+  void SetMessageId(std::string id) { m_message_id = std::move(id); }
+
   void Close() {
     m_state = ConnectionState::kClosed;
     ++m_generation;
@@ -148,6 +162,32 @@
     m_stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
   }
 
+  static constexpr std::string_view kIdKey = "attempt";
+
+  /** Runs a handler of this connection. An exception fails the exchange in
+   * progress and closes the connection. */
+  template <class Work>
+  void Guard(Work work) {
+    RunGuarded(work, [this](std::string_view error) {
+      ReportMessageFailure(kIdKey, m_message_id, error);
+      RunGuarded(
+          [this] {
+            Fail();
+            Close();
+          },
+          [this](std::string_view next) {
+            ReportMessageFailure(kIdKey, m_message_id, next);
+          });
+    });
+  }
+
+  /** Fails the exchange in progress after the present handler. */
+  void PostFail() {
+    asio::post(m_context, [self = shared_from_this()] {
+      self->Guard([&] { self->Fail(); });
+    });
+  }
+
   void SetKeepAlive() {
     using Seconds = std::chrono::seconds;
     constexpr int kProbeInterval = 1;
@@ -202,7 +242,7 @@
         [self = shared_from_this(),
          generation = m_generation](const error_code&) {
           if (self->m_generation == generation) {
-            self->OnReadableWhileIdle();
+            self->Guard([&] { self->OnReadableWhileIdle(); });
           }
         });
   }
@@ -224,6 +264,7 @@
     m_parser->header_limit(kMaxHeaderBytes);
     m_parser->body_limit(m_max_answer_bytes);
     m_parser->skip(m_is_head);
+    m_buffer.BeginAnswer(m_is_head);
     ReadMore();
   }
 
@@ -232,7 +273,7 @@
     http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnRead(error);
+          self->Guard([&] { self->OnRead(error); });
         });
   }
 
@@ -240,7 +281,7 @@
     if (m_state != ConnectionState::kBusy) {
       return;
     }
-    if (error || !ReserveBody()) {
+    if (error || !IsFramingValid() || !ReserveBody()) {
       Fail();
     } else if (m_parser->is_done()) {
       OnAnswer();
@@ -249,6 +290,18 @@
     }
   }
 
+  bool IsFramingValid() const {
+    const FramingProblem problem =
+        m_parser->is_done() ? m_buffer.ProblemOfWhole() : m_buffer.Problem();
+    if (problem == FramingProblem::kNone) {
+      return true;
+    }
+    LogWarning(LogLine("answer_framing_invalid")
+                   .Add("problem", ToString(problem))
+                   .Add("status", m_parser->get().result_int()));
+    return false;
+  }
+
   bool ReserveBody() {
     const std::string& body = m_parser->get().body();
     if (m_reserved.GrowTo(body.capacity())) {
@@ -266,10 +319,10 @@
       return;
     }
     HttpResult result;
-    result.keep_alive = m_parser->get().keep_alive() && m_buffer.size() == 0 &&
+    result.keep_alive = m_buffer.KeepsConnection() && m_buffer.size() == 0 &&
                         !m_writing && !m_has_stray_answers;
     result.answer.status = static_cast<int>(m_parser->get().result_int());
-    result.answer.headers = CopyHeaders(m_parser->get());
+    result.answer.headers = m_buffer.TakeHeaders();
     result.answer.body = std::move(m_parser->get().body());
     if (m_belongs && !m_belongs(result.answer)) {
       SkipAnswer();
@@ -290,7 +343,7 @@
   /** Discards an answer that belongs to an earlier request and reads the next
    * one. */
   void SkipAnswer() {
-    const bool last = !m_parser->get().keep_alive();
+    const bool last = !m_buffer.KeepsConnection();
     m_has_stray_answers = true;
     if (last) {
       Fail();
@@ -309,7 +362,7 @@
   }
 
   void Fail() {
-    if (m_state != ConnectionState::kBusy) {
+    if (m_state != ConnectionState::kBusy || !m_answered) {
       return;
     }
     const AnsweredCallback callback = std::exchange(m_answered, nullptr);
@@ -325,6 +378,7 @@
   AnsweredCallback m_answered;
   LostCallback m_idle_lost;
   BeastRequest m_request;
+  std::string m_message_id;
   BelongsFunction m_belongs;
   bool m_is_head = false;
   bool m_writing = false;
@@ -337,7 +391,7 @@
   std::shared_ptr<ByteBudget> m_budget;
   /** Memory for the body. */
   ByteReservation m_reserved;
-  beast::flat_buffer m_buffer{kMaxUnparsedBytes};
+  CheckedBuffer m_buffer{kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> m_parser;
   /** Incremented to invalidate a pending wait for readable data. */
   std::uint64_t m_generation = 0;
@@ -381,6 +435,10 @@
   m_implementation->Close();
 }
 
+void HttpConnection::SetMessageId(std::string id) {
+  m_implementation->SetMessageId(std::move(id));
+}
+
 bool HttpConnection::IsIdle() const {
   return m_implementation->IsIdle();
 }
--- a/src/runtime/http_connection.h
+++ b/src/runtime/http_connection.h
@@ -90,6 +90,9 @@
    * its end nor unsolicited bytes, of which IsIdle learns later. */
   bool IsUsable() const;
 
+  /** Sets the id under which failures of the next exchanges are logged. */
+  void SetMessageId(std::string id);
+
  private:
   class Implementation;
   std::shared_ptr<Implementation> m_implementation;
--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -15,7 +15,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -23,8 +22,10 @@
 
 #include "runtime/beast_message.h"
 #include "runtime/byte_budget.h"
+#include "runtime/checked_buffer.h"
 #include "runtime/http_fields.h"
 #include "runtime/log_line.h"
+#include "runtime/message_guard.h"
 #include "runtime/network_address.h"
 
 namespace kumquatcove {
@@ -130,6 +131,7 @@
         static_cast<std::uint32_t>(m_state->limits.max_header_bytes));
     m_parser->body_limit(m_state->limits.max_body_bytes);
     m_buffer.max_size(m_state->limits.max_header_bytes + kReadAheadBytes);
+    m_buffer.BeginRequest();
     ReadHeader();
   }
 
@@ -145,20 +147,51 @@
   /** Refuses the connection because the connection limit is reached. */
   void Refuse() {
     m_stream.expires_after(m_state->limits.idle);
-    Write(m_state->handler->OnMalformed(kServiceUnavailable,
-                                        "too many connections"),
-          false);
+    Guard([this] {
+      Write(m_state->handler->OnMalformed(kServiceUnavailable,
+                                          "too many connections"),
+            false);
+    });
   }
 
   void Answer(HttpAnswer answer) {
     m_reserved.Release();
     ++m_generation;
-    m_exchange = 0;
     m_stream.expires_after(m_state->limits.idle);
-    Write(std::move(answer), m_parser->get().keep_alive() && !m_state->closing);
+    Guard([&] {
+      Write(std::move(answer), m_buffer.KeepsConnection() && !m_state->closing);
+    });
+    m_exchange = 0;
   }
 
  private:
+  /** Runs a handler of this session. An exception becomes an error for the
+   * client, and the connection is closed. */
+  template <class Work>
+  void Guard(Work work) {
+    RunGuarded(work, [this](std::string_view error) { OnFailed(error); });
+  }
+
+  void OnFailed(std::string_view error) {
+    const ExchangeId failed{std::exchange(m_exchange, 0)};
+    m_reserved.Release();
+    ++m_generation;
+    m_state->waiting.erase(failed.number);
+    const bool can_answer = !m_writing && !m_failed;
+    m_failed = true;
+    RunGuarded(
+        [&] {
+          HttpAnswer answer = m_state->handler->OnFailed(failed, error);
+          if (can_answer) {
+            m_stream.expires_after(m_state->limits.idle);
+            Write(std::move(answer), false);
+          } else {
+            CloseSocket();
+          }
+        },
+        [this](std::string_view) { CloseSocket(); });
+  }
+
   void ReadHeader() {
     m_awaits_header = true;
     m_stream.expires_after(m_state->stopped
@@ -167,7 +200,7 @@
     http::async_read_header(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          self->OnHeader(error);
+          self->Guard([&] { self->OnHeader(error); });
         });
   }
 
@@ -179,7 +212,7 @@
       }
       return;
     }
-    if (error) {
+    if (error || m_buffer.Problem() != FramingProblem::kNone) {
       OnReadError(error);
       return;
     }
@@ -193,7 +226,7 @@
           m_stream, asio::buffer(kContinue.data(), kContinue.size()),
           [self = shared_from_this()](const error_code& failed, std::size_t) {
             if (!failed) {
-              self->ReadBody();
+              self->Guard([&] { self->ReadBody(); });
             }
           });
       return;
@@ -203,21 +236,14 @@
 
   void ReadBody() {
     if (m_parser->is_done()) {
-      OnBody({});
+      OnBody();
       return;
     }
     m_stream.expires_after(m_state->limits.idle);
     http::async_read_some(
         m_stream, m_buffer, *m_parser,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          if (error) {
-            self->OnBody(error);
-          } else if (!self->m_reserved.GrowTo(
-                         self->m_parser->get().body().size())) {
-            self->RefuseBody();
-          } else {
-            self->ReadBody();
-          }
+          self->Guard([&] { self->OnBodyPart(error); });
         });
   }
 
@@ -228,6 +254,16 @@
            m_stream.socket().available(ignored) > 0;
   }
 
+  void OnBodyPart(const error_code& error) {
+    if (error || m_buffer.Problem() != FramingProblem::kNone) {
+      OnReadError(error);
+    } else if (!m_reserved.GrowTo(m_parser->get().body().size())) {
+      RefuseBody();
+    } else {
+      ReadBody();
+    }
+  }
+
   /** Refuses a request whose body exceeds the available body memory. */
   void RefuseBody() {
     m_reserved.Release();
@@ -237,18 +273,30 @@
     Write(std::move(answer), false);
   }
 
+  void CloseSocket() {
+    error_code ignored;
+    m_stream.socket().close(ignored);
+  }
+
   void OnReadError(const error_code& error) {
     m_reserved.Release();
-    if (IsParseError(error)) {
+    const FramingProblem problem = m_buffer.Problem();
+    if (problem != FramingProblem::kNone) {
+      Write(m_state->handler->OnMalformed(kBadRequest, ToString(problem)),
+            false);
+    } else if (IsParseError(error)) {
       Write(m_state->handler->OnMalformed(StatusOfParseError(error),
                                           error.message()),
             false);
     }
   }
 
-  void OnBody(const error_code& error) {
-    if (error) {
-      OnReadError(error);
+  void OnBody() {
+    if (const FramingProblem problem = m_buffer.ProblemOfWhole();
+        problem != FramingProblem::kNone) {
+      m_reserved.Release();
+      Write(m_state->handler->OnMalformed(kBadRequest, ToString(problem)),
+            false);
       return;
     }
     m_stream.expires_never();
@@ -258,7 +306,7 @@
     request.remote_address = m_remote;
     request.http.method = std::string(message.method_string());
     request.http.target = std::string(message.target());
-    request.http.headers = CopyHeaders(message);
+    request.http.headers = m_buffer.TakeHeaders();
     request.http.body = std::move(m_parser->get().body());
     m_exchange = request.exchange.number;
     m_state->waiting[m_exchange] = shared_from_this();
@@ -273,7 +321,7 @@
         [self = shared_from_this(),
          generation = m_generation](const error_code& error) {
           if (self->m_generation == generation) {
-            self->OnReadableWhileWaiting(error);
+            self->Guard([&] { self->OnReadableWhileWaiting(error); });
           }
         });
   }
@@ -305,11 +353,14 @@
     const bool is_head = m_parser && m_parser->is_header_done() &&
                          m_parser->get().method() == http::verb::head;
     m_response.emplace(ToBeast(std::move(answer), keep_alive, is_head));
-    http::async_write(m_stream, *m_response,
-                      [self = shared_from_this(), keep_alive](
-                          const error_code& error, std::size_t) {
-                        self->OnWritten(error, keep_alive);
-                      });
+    m_writing = true;
+    http::async_write(
+        m_stream, *m_response,
+        [self = shared_from_this(), keep_alive](const error_code& error,
+                                                std::size_t) {
+          self->m_writing = false;
+          self->Guard([&] { self->OnWritten(error, keep_alive); });
+        });
   }
 
   void OnWritten(const error_code& error, bool keep_alive) {
@@ -346,7 +397,7 @@
   beast::tcp_stream m_stream;
   std::shared_ptr<ServerState> m_state;
   std::string m_remote;
-  beast::flat_buffer m_buffer;
+  CheckedBuffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<BeastResponse> m_response;
   std::string m_discarded;
@@ -357,6 +408,10 @@
   std::uint64_t m_exchange = 0;
   /** Whether the header of a request is being awaited or read. */
   bool m_awaits_header = false;
+  /** Whether an answer is being written. */
+  bool m_writing = false;
+  /** Whether an exception left a handler; the connection then ends. */
+  bool m_failed = false;
   /** Incremented to invalidate a pending wait for readable data. */
   std::uint64_t m_generation = 0;
 };
