Stages of a stop keep their order whatever time it has

Found by the independent review of the stop, by reading: with a grace time below 1.8 s the intake ended after the work, and a stall of up to 1 s that ended right before a SIGTERM moved the end of work below five sixths of the grace time.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -16,7 +16,7 @@
 // requested right after it may have been requested during it.
 constexpr Duration kStallThreshold = Milliseconds(100);
 // Longest time by which a stop is taken to have begun earlier than it was seen.
-constexpr Duration kMaxSignalDelay = Seconds(1);
+constexpr Duration kMaxSignalDelay = Milliseconds(450);
 
 // Time for events of the transport to reach the reducer.
 constexpr Duration kIntakeDelay = Milliseconds(50);
--- a/src/dispatch/stop_schedule.cc
+++ b/src/dispatch/stop_schedule.cc
@@ -20,7 +20,8 @@
 // Work is begun only if this many times its expected duration is left.
 constexpr int kDurationMargin = 2;
 
-// Time before SIGKILL at which the process exits in any case.
+// Time before SIGKILL at which the process exits in any case; peers then get
+// what is queued for them.
 constexpr Duration kKillMargin = Milliseconds(300);
 // Time for an upstream's answer in transit, and for writing the last answers.
 constexpr Duration kAnswerTime = Milliseconds(320);
@@ -33,11 +34,13 @@
 
 StopSchedule::StopSchedule(MonotonicTime begin, Duration grace) {
   const Duration cached = kLookupTimeToLive * kLookupKeepFactor;
-  m_lookups_end = begin + std::min(cached, ShareOf(grace, kMaxLookupShare));
-  m_intake_end = begin + std::min(cached + kLeavingMargin,
-                                  ShareOf(grace, kMaxIntakeShare));
-  m_exit_end = begin + grace - kKillMargin;
-  m_work_end = m_exit_end - kAnswerTime;
+  m_exit_end = begin + std::max(grace - kKillMargin, Duration::zero());
+  m_work_end = std::max(m_exit_end - kAnswerTime, begin);
+  m_intake_end =
+      std::min(m_work_end, begin + std::min(cached + kLeavingMargin,
+                                            ShareOf(grace, kMaxIntakeShare)));
+  m_lookups_end = std::min(
+      m_intake_end, begin + std::min(cached, ShareOf(grace, kMaxLookupShare)));
 }
 
 bool StopSchedule::IsAdmissible(MonotonicTime now,
