New connections and pipelined requests are answered during a stop

Cause: connections that had carried no request were closed like idle ones, one round trip before their request; and an answer closed the connection whatever had been received behind it.

Change: a new connection gets a second for its first request; an answer closes the connection only if no further request has arrived. Besides, accepting isn't resumed on a closed listener, and the queue is drained up to the limit of connections.

--- a/src/runtime/request_server.cc
+++ b/src/runtime/request_server.cc
@@ -56,7 +56,7 @@
 constexpr std::string_view kBodyRetryAfter = "1";
 /** Time for the first request of a connection that was accepted as the server
  * stopped, and for the rest of a header. */
-constexpr Duration kLastReadTime = Milliseconds(500);
+constexpr Duration kLastReadTime = Seconds(1);
 /** Maximum time for discarding the rest of a refused request. */
 constexpr std::chrono::seconds kDiscardTime(2);
 
@@ -159,7 +159,9 @@
     ++m_generation;
     m_stream.expires_after(m_state->limits.idle);
     Guard([&] {
-      Write(std::move(answer), m_buffer.KeepsConnection() && !m_state->closing);
+      // A pipelined request that has arrived gets its answer, too.
+      Write(std::move(answer), m_buffer.KeepsConnection() &&
+                                   (!m_state->closing || HasUnreadInput()));
     });
     m_exchange = 0;
   }
@@ -207,7 +209,9 @@
   void OnHeader(const error_code& error) {
     m_awaits_header = false;
     if (error == asio::error::operation_aborted && m_state->stopped) {
-      if (HasInput()) {
+      // A new connection's first request may still be on its way.
+      const bool is_new = !m_has_read && !std::exchange(m_waited, true);
+      if (is_new || HasInput()) {
         ReadHeader();
       }
       return;
@@ -248,10 +252,11 @@
   }
 
   /** Returns whether a part of the next request has arrived. */
-  bool HasInput() {
+  bool HasInput() { return m_parser->got_some() || HasUnreadInput(); }
+
+  bool HasUnreadInput() {
     error_code ignored;
-    return m_parser->got_some() || m_buffer.size() > 0 ||
-           m_stream.socket().available(ignored) > 0;
+    return m_buffer.size() > 0 || m_stream.socket().available(ignored) > 0;
   }
 
   void OnBodyPart(const error_code& error) {
@@ -308,6 +313,7 @@
     request.http.target = std::string(message.target());
     request.http.headers = m_buffer.TakeHeaders();
     request.http.body = std::move(m_parser->get().body());
+    m_has_read = true;
     m_exchange = request.exchange.number;
     m_state->waiting[m_exchange] = shared_from_this();
     WatchForClose();
@@ -408,6 +414,10 @@
   std::uint64_t m_exchange = 0;
   /** Whether the header of a request is being awaited or read. */
   bool m_awaits_header = false;
+  /** Whether the connection has carried a request. */
+  bool m_has_read = false;
+  /** Whether a stopped server has waited for the connection's first request. */
+  bool m_waited = false;
   /** Whether an answer is being written. */
   bool m_writing = false;
   /** Whether an exception left a handler; the connection then ends. */
@@ -516,7 +526,8 @@
   void AcceptQueued() {
     error_code error;
     m_acceptor.non_blocking(true, error);
-    while (!error) {
+    for (std::size_t i = 0; !error && i < m_state->limits.max_connections;
+         ++i) {
       asio::ip::tcp::socket socket(m_acceptor.get_executor());
       m_acceptor.accept(socket, error);
       if (!error) {
@@ -533,7 +544,7 @@
       m_pause.expires_after(kAcceptPause);
       m_pause.async_wait(
           [self = shared_from_this()](const error_code& cancelled) {
-            if (!cancelled) {
+            if (!cancelled && self->m_acceptor.is_open()) {
               self->Accept();
             }
           });
--- a/src/runtime/request_server_test.cc
+++ b/src/runtime/request_server_test.cc
@@ -201,6 +201,28 @@
   CHECK(queued->ReadToEnd());
 }
 
+TEST_CASE("The first request on a new connection is answered during a stop") {
+  ScriptedServer server(Echo);
+  RawClient client(server.server.Port());
+  server.Run([&] { server.server.StopReading(); });
+  client.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(HasStatus(client.ReadUntil("GET /a "), 200));
+}
+
+TEST_CASE("A pipelined request that has arrived is answered during a stop") {
+  ScriptedServer server(
+      [](const HttpRequest&) { return std::optional<HttpAnswer>(); });
+  RawClient client(server.server.Port());
+  client.Send(
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(server.handler.requests.WaitForCount(1));
+  server.Run([&] { server.server.StopReading(); });
+  server.Run([&] { server.handler.AnswerLast(); });
+  CHECK(server.handler.requests.WaitForCount(2));
+  server.Run([&] { server.handler.AnswerLast(); });
+  CHECK(client.ReadToEnd());
+}
+
 TEST_CASE("A request that is still arriving as the server stops is answered") {
   ScriptedServer server(Echo);
   const std::string head =
--- a/src/runtime/test_support.h
+++ b/src/runtime/test_support.h
@@ -83,11 +83,14 @@
 
   void OnRequest(ServedRequest request) override {
     std::optional<HttpAnswer> answer = m_script(request.http);
+    m_last = request.exchange;
     requests.Add(request.http);
     if (answer) {
       m_server->Answer(request.exchange, std::move(*answer));
     }
   }
+  /** Answers the last request; on the server's thread. */
+  void AnswerLast() { m_server->Answer(m_last, HttpAnswer{200, {}, ""}); }
   void OnClientDisconnected(ExchangeId exchange) override {
     disconnected.Add(exchange);
   }
@@ -105,6 +108,7 @@
  private:
   Script m_script;
   RequestServer* m_server = nullptr;
+  ExchangeId m_last;
 };
 
 /** Loopback server that answers with a ScriptedHandler::Script. The destructor
