The limit of an exit is a point in time, and ends before SIGKILL

The effect now carries the time, and the daemon gives peers 0.15 s. The daemon's test plays an exit with a request that never ends, and the test of the second SIGTERM waits until the signal was handled.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -331,8 +331,7 @@
   if (done || now >= m_stop_schedule->ExitEnd()) {
     m_exited = true;
     RecordStopStage("instance_stopped", stopping);
-    m_context.Emit(
-        Exit{std::max(m_stop_schedule->ExitEnd() - now, Duration::zero())});
+    m_context.Emit(Exit{m_stop_schedule->ExitEnd()});
   }
 }
 
--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -24,6 +24,8 @@
 
 // Added to the time to live of lookup answers before a leaving instance refuses
 // requests. Covers delivery time and differences between clock rates.
+/** Time for writing the last answers before the process exits. */
+constexpr Duration kAnswerWriteTime = Seconds(2);
 constexpr Duration kLeavingMargin = Milliseconds(500);
 
 // An instance serves only after it has had time to receive heartbeats from its
@@ -355,7 +357,7 @@
   if (!m_exited && IsDrained()) {
     m_exited = true;
     m_context.Record("instance_stopped", m_context.Self().instance.Text());
-    m_context.Emit(Exit{});
+    m_context.Emit(Exit{m_context.Now() + kAnswerWriteTime});
   }
 }
 
--- a/src/protocol/effect.h
+++ b/src/protocol/effect.h
@@ -193,11 +193,11 @@
                       (),
                       (max_header_bytes, max_body_bytes, idle, intake))
 
-/** Terminates the process once all answers are written and read, or after a
- * time limit. Every request that has arrived has its answer at this point. */
+/** Terminates the process once all answers are written and read, or at a time
+ * limit. Every request that has arrived has its answer at this point. */
 struct Exit {
   static constexpr std::string_view kName = "exit";
-  Duration limit = Seconds(2);
+  MonotonicTime limit;
   friend bool operator==(const Exit&, const Exit&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Exit, (), (limit))
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -35,6 +35,8 @@
 
 /** Poll interval for the connections that an exit waits for. */
 constexpr Duration kExitCheckInterval = Milliseconds(10);
+/** Time for sending queued peer messages after the exit's own limit. */
+constexpr Duration kPeerFlushLimit = Milliseconds(150);
 constexpr Duration kMetricsInterval = Seconds(1);
 /** Poll interval for the settings file, since the platform may change it
  * without sending a signal. */
@@ -104,6 +106,7 @@
   result.instance = settings.instance;
   result.zone = settings.zone;
   result.address = settings.peer_address;
+  result.flush_limit = kPeerFlushLimit;
   return result;
 }
 
@@ -272,7 +275,7 @@
     for (RequestServer* server : ListServers()) {
       server->StopReading();
     }
-    ExitWhenWritten(ReadSystemClock().monotonic + effect.limit);
+    ExitWhenWritten(effect.limit);
   }
 
   /** Ends the run once no connection is left, or at `limit`. Answers may be in
--- a/src/runtime/daemon_test.cc
+++ b/src/runtime/daemon_test.cc
@@ -12,6 +12,7 @@
 #include "base/random.h"
 #include "runtime/caller_api.h"
 #include "runtime/operator_api.h"
+#include "runtime/system_clock.h"
 #include "runtime/test_support.h"
 
 namespace kumquatcove {
@@ -42,11 +43,15 @@
   std::atomic<bool> answers = true;
   /** Set before the first request. */
   std::string body = "body";
+  /** Time that an exit leaves for answers. */
+  Duration exit_time = Seconds(10);
   mutable Recorder<Event> seen;
 
  private:
   std::vector<Effect> On(const Tick& /*event*/) const {
-    return exit ? std::vector<Effect>{Exit{}} : std::vector<Effect>{};
+    return exit ? std::vector<Effect>{Exit{ReadSystemClock().monotonic +
+                                           exit_time}}
+                : std::vector<Effect>{};
   }
 
   std::vector<Effect> On(const RequestArrived& event) const {
@@ -297,6 +302,18 @@
   CHECK(read.ends_with("end"));
 }
 
+TEST_CASE("An exit ends at its limit though a request has no answer") {
+  std::optional<DaemonFixture> daemon(std::in_place);
+  daemon->reducer.answers = false;
+  daemon->reducer.exit_time = Milliseconds(200);
+  RawClient client(daemon->caller_port);
+  client.Send("GET /vitrina/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(daemon->reducer.seen.WaitForCount(3));
+  const MonotonicTime begin = ReadSystemClock().monotonic;
+  daemon.reset();
+  CHECK(ReadSystemClock().monotonic - begin < Seconds(5));
+}
+
 TEST_CASE("A second SIGTERM does not cut a stop short") {
   DaemonFixture daemon;
   REQUIRE(daemon.reducer.seen.WaitForCount(2));
@@ -304,9 +321,13 @@
   REQUIRE(daemon.reducer.seen.WaitForCount(3));
   std::raise(SIGTERM);
   std::raise(SIGHUP);
-  const std::string answer = DaemonFixture::Exchange(
-      daemon.caller_port, "GET /vitrina/1 HTTP/1.1\r\nHost: h\r\n\r\n", "body");
-  CHECK(answer.starts_with("HTTP/1.1 201"));
+  // Each exchange passes the thread that handles the signals.
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = DaemonFixture::Exchange(
+        daemon.caller_port, "GET /vitrina/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+        "body");
+    CHECK(answer.starts_with("HTTP/1.1 201"));
+  }
   const std::vector<Event> events = daemon.reducer.seen.Values();
   CHECK(std::count_if(events.begin(), events.end(), [](const Event& event) {
           return std::holds_alternative<StopRequested>(event);
