A stop right after the start has its whole time

Cause: the reducer takes a gap between events for a freeze, and the time before its first event counted as such a gap.

--- a/src/dispatch/dispatch_reducer.cc
+++ b/src/dispatch/dispatch_reducer.cc
@@ -137,7 +137,8 @@
   if (!std::holds_alternative<Started>(event)) {
     DetectPause();
   }
-  if (m_context.Now() - m_last_event >= kStallThreshold) {
+  const bool is_first = m_last_event == MonotonicTime{};
+  if (!is_first && m_context.Now() - m_last_event >= kStallThreshold) {
     m_stall_begin = m_last_event;
     m_stall_end = m_context.Now();
   }
--- a/src/dispatch/dispatch_reducer_test.cc
+++ b/src/dispatch/dispatch_reducer_test.cc
@@ -501,6 +501,15 @@
   CHECK(world.exited);
 }
 
+TEST_CASE("A stop right after the start has its whole time") {
+  FakeDispatchWorld world;
+  world.table.Put("operator/config", kRoutes);
+  world.Handle(Started{});
+  world.Handle(StopRequested{});
+  world.AdvanceTime(Milliseconds(3'600));
+  CHECK(world.intake == CallerIntake::kClosing);
+}
+
 TEST_CASE("A lookup returns this instance while it serves") {
   SmallWorld world;
   LookupArrived event;
