A signal that arrives as the process exits does not change its status

Besides, the watch of the settings file outlives the daemon, whose thread polls it: it was destroyed first.

--- a/src/daemon/kumquatcoved_main.cc
+++ b/src/daemon/kumquatcoved_main.cc
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <optional>
@@ -11,6 +12,8 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <glog/logging.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 #include "base/hash.h"
 #include "dispatch/dispatch_reducer.h"
@@ -57,13 +60,23 @@
   }
 }
 
+/** Keeps signals from ending the process while it exits, as the daemon's own
+ * handlers are removed with it. */
+void KeepSignalsHandled() {
+  static auto& context = *new boost::asio::io_context;
+  static auto& signals =
+      *new boost::asio::signal_set(context, SIGTERM, SIGINT, SIGHUP);
+  (void)signals;
+}
+
 int RunWith(const kumquatcove::Settings& settings,
             std::int64_t incarnation,
             const std::string& file,
             kumquatcove::ReduceFunction reduce,
             const kumquatcove::PlatformDialect& dialect) {
-  kumquatcove::Daemon daemon(settings, incarnation, std::move(reduce), dialect);
+  // Outlives the daemon, whose thread uses it.
   kumquatcove::SettingsWatch watch(file);
+  kumquatcove::Daemon daemon(settings, incarnation, std::move(reduce), dialect);
   daemon.SetReload([&watch](kumquatcove::EventSink& events, bool signalled) {
     PostChange(watch, events, signalled);
   });
@@ -73,6 +86,7 @@
                            .Add("operators", settings.operator_address)
                            .Add("peers", settings.peer_address));
   const int status = daemon.Run();
+  KeepSignalsHandled();
   kumquatcove::LogInfo(kumquatcove::LogLine("exited").Add("status", status));
   return status;
 }
