--- a/src/node/node_reducer.cc
+++ b/src/node/node_reducer.cc
@@ -24,10 +24,11 @@
 
 // Added to the time to live of lookup answers before a leaving instance refuses
 // requests. Covers delivery time and differences between clock rates.
-/** Time for writing the last answers before the process exits. */
-constexpr Duration kAnswerWriteTime = Seconds(2);
 constexpr Duration kLeavingMargin = Milliseconds(500);
 
+// Time for writing the last answers before the process exits.
+constexpr Duration kAnswerWriteTime = Seconds(2);
+
 // An instance serves only after it has had time to receive heartbeats from its
 // peers: three heartbeat intervals and the longest delay between regions.
 // Earlier it would select itself as the slot home and couldn't reach the owners
