--- a/src/deployment/child_process.cc
+++ b/src/deployment/child_process.cc
@@ -100,6 +100,10 @@
   m_handle->Signal(SIGTERM);
 }
 
+void ChildProcess::Reload() {
+  m_handle->Signal(SIGHUP);
+}
+
 bool ChildProcess::WaitForEnd(Duration timeout) {
   std::error_code ignored;
   return m_handle->child.wait_for(timeout, ignored);
--- a/src/deployment/child_process.h
+++ b/src/deployment/child_process.h
@@ -41,6 +41,8 @@
   void Thaw();
   /** Asks the process to end (SIGTERM). */
   void Terminate();
+  /** Tells the process that its settings have changed (SIGHUP). */
+  void Reload();
   /** Waits for the end and returns whether it came within `timeout`. */
   bool WaitForEnd(Duration timeout);
   bool IsRunning();
