--- a/src/platform/stand_in/caller_stand_in.h
+++ b/src/platform/stand_in/caller_stand_in.h
@@ -10,7 +10,9 @@
 
 #include "base/clock_reading.h"
 #include "base/random.h"
+#include "platform/stand_in/paced_connection.h"
 #include "platform/stand_in/soak_ledger.h"
+#include "platform/stand_in/soak_route.h"
 #include "runtime/http_connection.h"
 #include "runtime/io_thread.h"
 
@@ -27,9 +29,9 @@
 };
 
 /**
- * Callers of all zones: ask where to connect, send idempotent and other
- * requests on new and kept connections, and repeat those that may be repeated
- * once.
+ * Callers of all zones: ask where to connect, send idempotent requests on new
+ * and kept connections and others on new ones, write some bodies and read some
+ * answers slowly, and repeat once what may be repeated.
  *
  * Thread safety: all functions but the constructor run on the IoThread.
  */
@@ -49,11 +51,14 @@
 
  private:
   struct Call {
-    std::unique_ptr<HttpConnection> connection;
+    std::shared_ptr<PacedConnection> connection;
     std::string zone;
     std::string address;
-    bool idempotent = false;
+    const SoakRoute* route = nullptr;
     std::string target;
+    std::string body;
+    ExchangePace pace;
+    bool is_kept = false;
     std::string attempt;
     int attempts = 0;
     MonotonicTime started;
@@ -71,12 +76,21 @@
                   const std::optional<HttpResult>& result);
   void Try(std::uint64_t number);
   void OnOpened(std::uint64_t number, bool opened);
-  void OnAnswered(std::uint64_t number,
-                  const std::optional<HttpResult>& result);
+  void OnAnswered(std::uint64_t number, const ExchangeResult& result);
   void End(std::uint64_t number, bool served);
-  /** Returns a kept connection to an address, or null: there is none, or a new
-   * one is to be opened. */
-  std::unique_ptr<HttpConnection> TakeIdle(const std::string& address);
+  /** Keeps the connection of a call that has ended, if it is open. */
+  void Keep(Call& call);
+  /** Returns the open kept connections to an address. */
+  std::vector<std::shared_ptr<PacedConnection>>& IdleAt(
+      const std::string& address);
+  /** Returns a kept connection to an address, or null. */
+  std::shared_ptr<PacedConnection> TakeIdle(const std::string& address);
+  /** Returns a kept connection to any address, which it sets, or null. */
+  std::shared_ptr<PacedConnection> TakeAnyIdle(std::string& address);
+  /** Draws what a call sends and at which pace. */
+  void DrawRequest(Call& call);
+  /** Notes a send of a call and returns what it sends. */
+  HttpRequest BeginSend(Call& call);
   void Discard(std::unique_ptr<HttpConnection> connection);
   std::string Pick(const std::vector<std::string>& addresses);
 
@@ -88,7 +102,7 @@
   std::map<std::uint64_t, Call> m_calls;
   /** Kept connections by address; they are used until the instance is gone,
    * whatever a later look-up says. */
-  std::map<std::string, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+  std::map<std::string, std::vector<std::shared_ptr<PacedConnection>>> m_idle;
   std::uint64_t m_last_call = 0;
   std::uint64_t m_last_attempt = 0;
   bool m_stopped = false;
--- a/src/platform/stand_in/kumquatcove_soak_main.cc
+++ b/src/platform/stand_in/kumquatcove_soak_main.cc
@@ -17,6 +17,19 @@
           "settings template of the deployment");
 ABSL_FLAG(std::string, work_folder, "/tmp/kumquatcove-soak", "settings, logs");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of faults and load");
+ABSL_FLAG(int, stop_rounds, 2, "rounds of planned stops, before the faults");
+ABSL_FLAG(bool,
+          repeated_signals,
+          true,
+          "instances that are stopping may get further SIGTERMs");
+ABSL_FLAG(bool,
+          changes,
+          true,
+          "SIGHUPs and new configurations beside planned stops");
+ABSL_FLAG(bool,
+          awkward_times,
+          true,
+          "SIGTERM also to frozen instances and to some that aren't ready");
 ABSL_FLAG(int, rounds, 20, "rounds of faults, each with planned work after it");
 ABSL_FLAG(std::string,
           faults,
@@ -38,6 +51,10 @@
   settings.template_file = absl::GetFlag(FLAGS_template_file);
   settings.work_folder = absl::GetFlag(FLAGS_work_folder);
   settings.seed = absl::GetFlag(FLAGS_seed);
+  settings.stop_rounds = absl::GetFlag(FLAGS_stop_rounds);
+  settings.stops.repeated_signals = absl::GetFlag(FLAGS_repeated_signals);
+  settings.stops.changes = absl::GetFlag(FLAGS_changes);
+  settings.stops.awkward_times = absl::GetFlag(FLAGS_awkward_times);
   settings.rounds = absl::GetFlag(FLAGS_rounds);
   settings.instances_per_zone = absl::GetFlag(FLAGS_instances_per_zone);
   settings.requests_per_second = absl::GetFlag(FLAGS_rate);
@@ -49,7 +66,8 @@
     std::cout << "seed " << settings.seed << ": served " << report.all.served
               << " of " << report.all.requests << ", in calm "
               << report.calm.served << " of " << report.calm.requests
-              << ", store calls " << report.store_calls << '\n';
+              << ", store calls " << report.store_calls << ", late in stops "
+              << report.late_sends << '\n';
     for (const std::string& violation : report.violations) {
       std::cout << "violation: " << violation << '\n';
     }
--- a/src/platform/stand_in/link_proxy_test.cc
+++ b/src/platform/stand_in/link_proxy_test.cc
@@ -168,18 +168,19 @@
 TEST_CASE("The ledger finds each kind of broken rule") {
   SoakLedger ledger;
   const auto at = [](Duration time) { return MonotonicTime(time); };
-  ledger.OnSent("twice", false, at(Seconds(10)));
-  ledger.OnRun("twice", "order", "/order/1");
-  ledger.OnRun("twice", "order", "/order/1");
-  ledger.OnAnswer("twice", 200, true, at(Seconds(11)));
-  ledger.OnSent("refused", false, at(Seconds(10)));
-  ledger.OnRun("refused", "order", "/order/1");
-  ledger.OnAnswer("refused", 503, true, at(Seconds(11)));
-  ledger.OnSent("lost", true, at(Seconds(10)));
-  ledger.OnRun("lost", "browse", "/browse/1");
-  ledger.OnAnswer("lost", 0, true, at(Seconds(11)));
+  ledger.OnSent("twice", {.idempotent = false}, at(Seconds(10)));
+  ledger.OnRun("twice", "order", "/order/1", at(Seconds(10)));
+  ledger.OnRun("twice", "order", "/order/1", at(Seconds(10)));
+  ledger.OnAnswer("twice", ExchangeEnd::kAnswered, 200, true, at(Seconds(11)));
+  ledger.OnSent("refused", {.idempotent = false}, at(Seconds(10)));
+  ledger.OnRun("refused", "order", "/order/1", at(Seconds(10)));
+  ledger.OnAnswer("refused", ExchangeEnd::kAnswered, 503, true,
+                  at(Seconds(11)));
+  ledger.OnSent("lost", {.idempotent = true}, at(Seconds(10)));
+  ledger.OnRun("lost", "browse", "/browse/1", at(Seconds(10)));
+  ledger.OnAnswer("lost", ExchangeEnd::kClosed, 0, true, at(Seconds(11)));
   CHECK(ledger.FindViolations().size() == 3);
-  ledger.OnRun("lost", "order", "/browse/1");
+  ledger.OnRun("lost", "order", "/browse/1", at(Seconds(10)));
   CHECK(ledger.FindViolations().size() == 4);
   ledger.OnArrivalAfterLeaving("i-1", at(Seconds(10)), at(Seconds(13)));
   CHECK(ledger.FindViolations().size() == 5);
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -1,18 +1,14 @@
 #include "platform/stand_in/soak_run.h"
 
+#include <algorithm>
 #include <chrono>
-#include <exception>
 #include <filesystem>
-#include <fstream>
-#include <future>
 #include <iterator>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_replace.h>
 #include <absl/strings/str_split.h>
 #include <boost/asio/ip/address.hpp>
 #include <boost/json/array.hpp>
@@ -21,6 +17,7 @@
 
 #include "deployment/loopback_network.h"
 #include "emulator/steady_clock.h"
+#include "platform/stand_in/soak_route.h"
 #include "runtime/log_line.h"
 
 namespace kumquatcove::stand_in {
@@ -28,27 +25,15 @@
 
 namespace json = boost::json;
 
-constexpr int kCallerPort = 28'548;
-constexpr int kReadyPort = 28'542;
-constexpr int kLookupPort = 28'546;
-constexpr int kPeerPort = 28'540;
 constexpr int kStorePort = 28'541;
 constexpr int kStoreHost = 100;
 constexpr int kUpstreamHost = 101;
-constexpr int kStoreLinkHost = 102;
 constexpr const char* kHost = "shop.example";
 
-constexpr Duration kStartTimeout = Seconds(10);
-constexpr Duration kAskTimeout = Seconds(2);
-// The platform lets a process that got SIGTERM run this long.
-constexpr Duration kGrace = Seconds(6);
 // A configuration must be in force this long after the store has taken it.
 constexpr Duration kConfigurationTime = Seconds(2);
-// Callers end their requests within this time.
-constexpr Duration kCallerTime = Seconds(5);
-
-constexpr double kRouteTimeoutSeconds =
-    std::chrono::duration<double>(SoakLedger::kRouteTimeout).count();
+// Callers end their requests within this time, with a repeat of each.
+constexpr Duration kCallerTime = Seconds(15);
 
 // Faults of one round begin within this time, and last between the other two.
 constexpr std::int64_t kMaxOffsetMs = 1'000;
@@ -71,15 +56,10 @@
 // otherwise.
 constexpr double kRateLimit = 1;
 
-constexpr std::int32_t kOk = 200;
-constexpr std::int32_t kNotFound = 404;
+constexpr std::size_t kFreightSlots = 40;
+constexpr Duration kFreightWork = Seconds(1);
 
-/** Availability zones, each with its region. */
-const std::map<std::string, std::string>& Zones() {
-  static const std::map<std::string, std::string> kZones = {
-      {"lima-a", "lima"}, {"lima-b", "lima"}, {"arequipa-a", "arequipa"}};
-  return kZones;
-}
+constexpr std::int32_t kNotFound = 404;
 
 void Sleep(Duration time) {
   std::this_thread::sleep_for(time);
@@ -89,16 +69,14 @@
   return {boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port)};
 }
 
-json::object RouteJson(const std::string& prefix,
-                       const std::string& service,
-                       const std::string& kind) {
+json::object RouteJson(const SoakRoute& route, const std::string& prefix) {
   return {{"name", "route" + prefix},
           {"host", kHost},
           {"prefix", prefix},
-          {"service", service},
-          {"kind", kind},
+          {"service", route.service},
+          {"kind", route.idempotent ? "safe" : "unsafe"},
           {"max-attempts", 2},
-          {"timeout-s", kRouteTimeoutSeconds},
+          {"timeout-s", std::chrono::duration<double>(route.timeout).count()},
           {"aim-s", 0.3},
           {"priority", 1},
           {"sticky", true}};
@@ -143,41 +121,27 @@
         Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort),
         m_settings.seed);
     PublishConfiguration(++m_version);
-    for (const auto& [zone, region] : Zones()) {
-      for (const char* service : {"browse", "order"}) {
+    for (const auto& [zone, region] : SoakZones()) {
+      for (const char* service : {"browse", "order", "freight"}) {
         AddUpstream(service, zone);
         AddUpstream(service, zone);
       }
     }
   });
-  int host = 0;
-  for (const auto& [zone, region] : Zones()) {
-    for (int i = 1; i <= m_settings.instances_per_zone; ++i) {
-      Instance& instance = m_instances[absl::StrCat(zone, "-", i)];
-      instance.zone = zone;
-      instance.ip = absl::StrCat(m_network, ++host);
-    }
-  }
+  SoakInstancesSettings instances;
+  instances.program = m_settings.program;
+  instances.template_file = m_settings.template_file;
+  instances.work_folder = m_settings.work_folder;
+  instances.per_zone = m_settings.instances_per_zone;
+  instances.network = m_network;
+  instances.store = Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort);
+  m_instances = std::make_unique<SoakInstances>(m_io, m_ledger, m_random,
+                                                std::move(instances));
   CallerStandInSettings callers;
-  callers.zones = Zones();
+  callers.zones = SoakZones();
   callers.host = kHost;
   callers.requests_per_second = m_settings.requests_per_second;
-  for (auto& [name, instance] : m_instances) {
-    std::unique_ptr<LinkProxy>& link = instance.store_link;
-    OnIoThread([&] {
-      link = std::make_unique<LinkProxy>(
-          m_io.Context(), Endpoint(absl::StrCat(m_network, kStoreLinkHost), 0));
-      link->Open(Endpoint(absl::StrCat(m_network, kStoreHost), kStorePort));
-    });
-    instance.settings_file = m_settings.work_folder + "/" + name + ".json";
-    std::ofstream(instance.settings_file) << FillTemplate(name, instance);
-    callers.lookup_addresses.push_back(
-        absl::StrCat(instance.ip, ":", kLookupPort));
-    StartInstance(name);
-  }
-  for (const auto& [name, instance] : m_instances) {
-    WaitUntilReady(name);
-  }
+  callers.lookup_addresses = m_instances->LookupAddresses();
   OnIoThread([&] {
     m_callers = std::make_unique<CallerStandIn>(
         m_io, m_ledger, std::move(callers), m_settings.seed + 1);
@@ -189,117 +153,22 @@
 SoakRun::~SoakRun() {
   m_io.Stop();
   // Their links use the I/O context, which goes before them otherwise.
-  m_instances.clear();
-}
-
-void SoakRun::OnIoThread(const std::function<void()>& work) {
-  std::promise<void> done;
-  m_io.Post([&] {
-    try {
-      work();
-      done.set_value();
-    } catch (...) {
-      done.set_exception(std::current_exception());
-    }
-  });
-  done.get_future().get();
-}
-
-std::string SoakRun::FillTemplate(const std::string& name,
-                                  const Instance& instance) const {
-  std::ostringstream text;
-  text << std::ifstream(m_settings.template_file).rdbuf();
-  json::object zones;
-  for (const auto& [zone, region] : Zones()) {
-    zones[zone] = region;
-  }
-  const auto at = [&](int port) {
-    return absl::StrCat(instance.ip, ":", port);
-  };
-  return absl::StrReplaceAll(
-      text.str(), {{"{{node}}", name},
-                   {"{{region}}", Zones().at(instance.zone)},
-                   {"{{zone}}", instance.zone},
-                   {"{{ip}}", instance.ip},
-                   {"{{listen.front}}", at(kCallerPort)},
-                   {"{{listen.directory}}", at(kLookupPort)},
-                   {"{{listen.ready}}", at(kReadyPort)},
-                   {"{{internal-ports.0}}", std::to_string(kPeerPort)},
-                   {"{{platform.address}}",
-                    absl::StrCat(m_network, kStoreLinkHost, ":",
-                                 instance.store_link->Endpoint().port())},
-                   {"{{zones|json}}", json::serialize(zones)},
-                   {"{{bounds.retry-budget-ratio}}", "0.2"},
-                   {"{{bounds.budget-extra-tries}}", "62"},
-                   {"{{bounds.budget-window-s}}", "10"},
-                   {"{{bounds.grace-s}}", "6"},
-                   {"{{bounds.ttl_max_s}}", "5"},
-                   {"{{bounds.drain-s}}", "2"},
-                   {"{{bounds.max-region-shift}}", "0.15"}});
-}
-
-void SoakRun::StartInstance(const std::string& name) {
-  Instance& instance = m_instances.at(name);
-  instance.process.emplace(
-      m_settings.program,
-      std::vector<std::string>{"--settings", instance.settings_file},
-      absl::StrCat(m_settings.work_folder, "/", name, "-",
-                   m_random.Next() % 1'000'000, ".log"));
-}
-
-std::int32_t SoakRun::Ask(const std::string& address,
-                          const std::string& host,
-                          const std::string& target) {
-  const auto status = std::make_shared<std::promise<std::int32_t>>();
-  auto connection = std::make_shared<std::unique_ptr<HttpConnection>>();
-  const std::string attempt = absl::StrCat("probe-", ++m_last_probe);
-  m_io.Post([=, this] {
-    m_ledger.OnSent(attempt, /*idempotent=*/true,
-                    emulator::ReadMonotonicClock());
-    *connection = std::make_unique<HttpConnection>(m_io);
-    (*connection)->Open(address, kAskTimeout, [=](bool opened) {
-      if (!opened) {
-        status->set_value(0);
-        return;
-      }
-      HttpRequest request;
-      request.method = "GET";
-      request.target = target;
-      request.headers = {{"Attempt-Id", attempt}, {"Deadline-Ms", "1000"}};
-      (*connection)
-          ->Send(request, host, kAskTimeout, nullptr,
-                 [status](const std::optional<HttpResult>& result) {
-                   status->set_value(result ? result->answer.status : 0);
-                 });
-    });
-  });
-  const std::int32_t found = status->get_future().get();
-  OnIoThread([&] { connection->reset(); });
-  return found;
-}
-
-void SoakRun::WaitUntilReady(const std::string& name) {
-  const std::string address =
-      absl::StrCat(m_instances.at(name).ip, ":", kReadyPort);
-  const MonotonicTime end = emulator::ReadMonotonicClock() + kStartTimeout;
-  while (Ask(address, address, "/kumquatcove/ready") != kOk) {
-    if (emulator::ReadMonotonicClock() >= end) {
-      throw DeploymentError("instance " + name + " doesn't get ready");
-    }
-    Sleep(Milliseconds(50));
-  }
+  m_instances.reset();
 }
 
 void SoakRun::PublishConfiguration(int version) {
-  json::array routes{RouteJson("/browse/", "browse", "safe"),
-                     RouteJson("/order/", "order", "unsafe")};
+  json::array routes;
+  for (const SoakRoute& route : kSoakRoutes) {
+    routes.push_back(RouteJson(route, std::string(route.prefix)));
+  }
   // Each version has a route that no earlier one had.
   routes.push_back(
-      RouteJson(absl::StrCat("/version/", version, "/"), "browse", "safe"));
+      RouteJson(kSoakRoutes.front(), absl::StrCat("/version/", version, "/")));
   const json::object configuration{
       {"version", absl::StrCat("r", version)},
       {"routes", std::move(routes)},
-      {"services", json::array{ServiceJson("browse"), ServiceJson("order")}},
+      {"services", json::array{ServiceJson("browse"), ServiceJson("order"),
+                               ServiceJson("freight")}},
       {"limits", json::object{{"max-header-bytes", 16'384},
                               {"max-body-bytes", 1'048'576},
                               {"header-timeout-s", 5},
@@ -313,6 +182,10 @@
   upstream.service = service;
   upstream.zone = zone;
   upstream.endpoint = Endpoint(absl::StrCat(m_network, kUpstreamHost), 0);
+  if (service == "freight") {
+    upstream.slots = kFreightSlots;
+    upstream.mean_work = kFreightWork;
+  }
   m_upstreams.push_back(std::make_unique<UpstreamStandIn>(
       m_io.Context(), *m_store, m_ledger, std::move(upstream),
       m_settings.seed + static_cast<std::uint64_t>(m_last_upstream)));
@@ -380,21 +253,15 @@
   end_due(true);
   m_store_in_use = false;
   m_upstreams_in_use.clear();
-  for (auto& [name, instance] : m_instances) {
+  for (auto& [name, instance] : m_instances->All()) {
     instance.in_use = false;
   }
-  WaitUntilAllReady();
-}
-
-void SoakRun::WaitUntilAllReady() {
-  for (const auto& [name, instance] : m_instances) {
-    WaitUntilReady(name);
-  }
+  m_instances->WaitUntilAllReady();
 }
 
-std::pair<const std::string, SoakRun::Instance>* SoakRun::TakeInstance() {
-  std::vector<std::pair<const std::string, Instance>*> free;
-  for (auto& entry : m_instances) {
+std::pair<const std::string, SoakInstance>* SoakRun::TakeInstance() {
+  std::vector<std::pair<const std::string, SoakInstance>*> free;
+  for (auto& entry : m_instances->All()) {
     if (!entry.second.in_use) {
       free.push_back(&entry);
     }
@@ -521,19 +388,18 @@
     return nullptr;
   }
   const std::string name = taken->first;
-  ChildProcess& process = *taken->second.process;
   if (fault == SoakFault::kInstanceFrozen) {
-    process.Freeze();
-    return [&process] { process.Thaw(); };
+    m_instances->Signal(name, InstanceSignal::kStop);
+    return [this, name] { m_instances->Signal(name, InstanceSignal::kCont); };
   }
   if (fault == SoakFault::kInstanceKilled) {
-    process.Kill();
-    return [this, name] { StartInstance(name); };
+    m_instances->Signal(name, InstanceSignal::kKill);
+    return [this, name] { m_instances->Start(name); };
   }
-  process.Terminate();
+  m_instances->Signal(name, InstanceSignal::kTerm);
   return [this, name] {
-    CheckEnd(name);
-    StartInstance(name);
+    m_instances->CheckEnd(name);
+    m_instances->Start(name);
   };
 }
 
@@ -586,14 +452,12 @@
       ChangeConfiguration();
       return;
     case SoakWork::kInstanceRestarted: {
-      const std::string name =
-          std::next(m_instances.begin(),
-                    static_cast<std::ptrdiff_t>(
-                        m_random.NextBelow(m_instances.size())))
-              ->first;
-      Stop(name);
-      StartInstance(name);
-      WaitUntilReady(name);
+      const std::vector<std::string> names = m_instances->Names();
+      const std::string& name = names[m_random.NextBelow(names.size())];
+      m_instances->Signal(name, InstanceSignal::kTerm);
+      m_instances->CheckEnd(name);
+      m_instances->Start(name);
+      m_instances->WaitUntilReady(name);
       return;
     }
     case SoakWork::kUpstreamRateLimited:
@@ -631,45 +495,26 @@
 void SoakRun::ChangeConfiguration() {
   OnIoThread([&] { PublishConfiguration(++m_version); });
   Sleep(kConfigurationTime);
-  for (const auto& [name, instance] : m_instances) {
+  for (const auto& [name, instance] : m_instances->All()) {
     const std::int32_t status =
-        Ask(absl::StrCat(instance.ip, ":", kCallerPort), kHost,
-            absl::StrCat("/version/", m_version, "/"));
+        m_instances->Ask(SoakInstances::CallerAddress(instance), kHost,
+                         absl::StrCat("/version/", m_version, "/"));
     if (status == kNotFound || status == 0) {
-      OnIoThread([&, late = name] {
-        m_ledger.OnViolation(absl::StrCat("version ", m_version,
-                                          " isn't in force at ", late,
-                                          ", status ", status));
-      });
+      m_instances->Report(absl::StrCat("version ", m_version,
+                                       " isn't in force at ", name, ", status ",
+                                       status));
     }
   }
 }
 
-void SoakRun::Stop(const std::string& name) {
-  m_instances.at(name).process->Terminate();
-  CheckEnd(name);
-}
-
-void SoakRun::CheckEnd(const std::string& name) {
-  ChildProcess& process = *m_instances.at(name).process;
-  const bool ended = process.WaitForEnd(kGrace);
-  if (!ended || process.ExitCode() != 0) {
-    OnIoThread([&] {
-      m_ledger.OnViolation(
-          absl::StrCat("instance ", name, " didn't end in order"));
-    });
-  }
-}
-
-void SoakRun::CheckProcesses() {
-  for (auto& [name, instance] : m_instances) {
-    if (!instance.process->IsRunning()) {
-      OnIoThread([&, failed = name] {
-        m_ledger.OnViolation("instance " + failed + " ended by itself");
-      });
-      StartInstance(name);
-      WaitUntilReady(name);
-    }
+void SoakRun::PlayStops() {
+  PlannedStops stops(
+      *m_instances, m_io, m_ledger,
+      [this] { PublishConfiguration(++m_version); }, m_settings.stops,
+      m_settings.seed + 2);
+  for (int round = 0; round < m_settings.stop_rounds; ++round) {
+    stops.Play();
+    Sleep(SoakLedger::kContactTime);
   }
 }
 
@@ -677,6 +522,7 @@
   const MonotonicTime begin = emulator::ReadMonotonicClock();
   OnIoThread([this] { m_store->KeepCopy(); });
   Sleep(Seconds(2));
+  PlayStops();
   const int rounds = m_settings.script.empty()
                          ? m_settings.rounds
                          : static_cast<int>(m_settings.script.size());
@@ -686,18 +532,23 @@
             ? DrawFaults()
             : m_settings.script[static_cast<std::size_t>(round)];
     NoteDisturbance([&] { PlayFaults(faults); });
-    CheckProcesses();
+    m_instances->CheckProcesses();
     Sleep(SoakLedger::kContactTime);
     OnIoThread([this] { m_store->KeepCopy(); });
     PlayWork(static_cast<SoakWork>(
         m_random.NextBelow(EnumNames(SoakWork{}).size())));
-    CheckProcesses();
+    m_instances->CheckProcesses();
   }
   Sleep(SoakLedger::kContactTime);
   const MonotonicTime calm = emulator::ReadMonotonicClock();
   Sleep(Seconds(3));
   OnIoThread([this] { m_callers->Stop(); });
-  Sleep(kCallerTime);
+  const MonotonicTime limit = emulator::ReadMonotonicClock() + kCallerTime;
+  std::size_t pending = 1;
+  while (pending > 0 && emulator::ReadMonotonicClock() < limit) {
+    Sleep(Milliseconds(100));
+    OnIoThread([&] { pending = m_callers->Pending(); });
+  }
   SoakReport report;
   OnIoThread([&] {
     report.store_calls = m_store->Calls();
@@ -706,10 +557,16 @@
           absl::StrCat(m_callers->Pending(), " requests never ended"));
     }
   });
-  for (const auto& [name, instance] : m_instances) {
-    Stop(name);
+  const MonotonicTime end = emulator::ReadMonotonicClock() + SoakLedger::kGrace;
+  for (const std::string& name : m_instances->Names()) {
+    m_instances->Signal(name, InstanceSignal::kTerm);
+  }
+  for (const std::string& name : m_instances->Names()) {
+    m_instances->CheckEnd(
+        name, std::max(end - emulator::ReadMonotonicClock(), Duration(0)));
   }
   OnIoThread([&] {
+    report.late_sends = m_ledger.LateSends();
     report.violations = m_ledger.FindViolations();
     report.all = m_ledger.ShareSince(begin);
     report.calm = m_ledger.ShareSince(calm);
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -15,9 +14,10 @@
 #include "base/clock_reading.h"
 #include "base/enum_table.h"
 #include "base/random.h"
-#include "deployment/child_process.h"
 #include "platform/stand_in/caller_stand_in.h"
 #include "platform/stand_in/link_proxy.h"
+#include "platform/stand_in/planned_stops.h"
+#include "platform/stand_in/soak_instances.h"
 #include "platform/stand_in/soak_ledger.h"
 #include "platform/stand_in/upstream_stand_in.h"
 #include "platform/stand_in/user_store_stand_in.h"
@@ -104,6 +104,9 @@
   /** Folder for settings and logs; made if it doesn't exist. */
   std::string work_folder;
   std::uint64_t seed = 1;
+  /** Rounds of planned stops, played before the faults. */
+  int stop_rounds = 0;
+  PlannedStopsSettings stops;
   /** Number of rounds: faults that overlap, then planned work. */
   int rounds = 6;
   /** Faults of each round; empty to draw them. */
@@ -120,6 +123,8 @@
   SoakShare all;
   SoakShare calm;
   std::size_t store_calls = 0;
+  /** Requests that came late in a planned stop. */
+  int late_sends = 0;
 };
 
 /** Reads a script: rounds separated by commas, the faults of one by `+`, each
@@ -150,26 +155,8 @@
   SoakReport Play();
 
  private:
-  struct Instance {
-    std::string zone;
-    std::string ip;
-    std::string settings_file;
-    std::optional<ChildProcess> process;
-    std::unique_ptr<LinkProxy> store_link;
-    /** A fault of the present round concerns it. */
-    bool in_use = false;
-  };
-
   /** Runs work on the thread of the stand-ins and waits for its end. */
-  void OnIoThread(const std::function<void()>& work);
-  std::string FillTemplate(const std::string& name,
-                           const Instance& instance) const;
-  void StartInstance(const std::string& name);
-  void WaitUntilReady(const std::string& name);
-  /** Returns the status that an instance answers to a request; 0 if none. */
-  std::int32_t Ask(const std::string& address,
-                   const std::string& host,
-                   const std::string& target);
+  void OnIoThread(const std::function<void()>& work) { RunAndWait(m_io, work); }
   void PublishConfiguration(int version);
   void AddUpstream(const std::string& service, const std::string& zone);
   std::vector<SoakFault> DrawFaults();
@@ -187,33 +174,27 @@
   std::function<void()> BeginUpstreamFault(SoakFault fault);
   std::function<void()> BeginUpstreamLinkFault(LinkFault fault);
   /** Returns an instance without a fault, or null; it has one from now on. */
-  std::pair<const std::string, Instance>* TakeInstance();
+  std::pair<const std::string, SoakInstance>* TakeInstance();
   /** The same for an upstream. */
   UpstreamStandIn* TakeUpstream();
-  void WaitUntilAllReady();
   void PlayWork(SoakWork work);
   void DrainAndReplace();
   /** Lets an upstream state a rate limit, which must be kept. */
   void LimitRate();
   /** Publishes a configuration, which must be in force in time. */
   void ChangeConfiguration();
-  /** Ends an instance in order; it must exit with 0 within its grace time. */
-  void Stop(const std::string& name);
-  /** Waits for the end of an instance that was told to end. */
-  void CheckEnd(const std::string& name);
+  /** Plays planned stops, which are no disturbance. */
+  void PlayStops();
   void NoteDisturbance(const std::function<void()>& fault);
   /** Counts the times at which this process doesn't run, as when the whole
    * machine is suspended, as disturbances. `last` is the time of the previous
    * call. */
   void WatchForPauses(MonotonicTime last);
-  /** Reports instances that have ended by themselves. */
-  void CheckProcesses();
 
   SoakSettings m_settings;
   std::string m_network;
   Random m_random;
   SoakLedger m_ledger;
-  std::map<std::string, Instance> m_instances;
   int m_version = 0;
   int m_last_upstream = 0;
   int m_last_probe = 0;
@@ -225,6 +206,7 @@
   std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
   /** Upstreams that have left; timers may still refer to them. */
   std::vector<std::unique_ptr<UpstreamStandIn>> m_retired;
+  std::unique_ptr<SoakInstances> m_instances;
   std::unique_ptr<CallerStandIn> m_callers;
 };
 
--- a/src/platform/stand_in/upstream_stand_in.cc
+++ b/src/platform/stand_in/upstream_stand_in.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -10,12 +11,14 @@
 #include <boost/json/serialize.hpp>
 
 #include "emulator/steady_clock.h"
+#include "platform/stand_in/soak_route.h"
 #include "runtime/http_fields.h"
 
 namespace kumquatcove::stand_in {
 namespace {
 
 constexpr std::size_t kQueueLength = 9;
+constexpr Duration kLongMeanWork = Milliseconds(3'300);
 constexpr std::int32_t kOk = 200;
 constexpr std::int32_t kMisdirected = 421;
 constexpr std::int32_t kUnavailable = 503;
@@ -28,7 +31,15 @@
 
 std::string UpstreamAnswerBody(const std::string& attempt,
                                const std::string& target) {
-  return absl::StrCat(attempt, " ", target);
+  std::string body = absl::StrCat(attempt, " ", target);
+  if (target.starts_with(kLargeAnswers)) {
+    constexpr std::size_t kLeastBytes = 1'000'000;
+    constexpr std::size_t kMostBytes = 3'000'000;
+    body.resize(kLeastBytes + std::hash<std::string>{}(attempt) %
+                                  (kMostBytes - kLeastBytes),
+                '.');
+  }
+  return body;
 }
 
 UpstreamStandIn::UpstreamStandIn(boost::asio::io_context& io,
@@ -88,6 +99,9 @@
     SetRateLimit(std::nullopt);
   }
   ++m_incarnation;
+  for (const Session& session : m_running) {
+    NoteRunEnd(session, RunEnd::kBrokenOff);
+  }
   m_running.clear();
   m_waiting.clear();
   m_link.Close();
@@ -120,6 +134,8 @@
     session->Respond(MakeAnswer(kMisdirected, ""));
     return;
   }
+  m_ledger.OnArrival(session->Header("Attempt-Id"),
+                     emulator::ReadMonotonicClock());
   if (m_rate_limit) {
     m_ledger.OnLimitedArrival(m_settings.id, emulator::ReadMonotonicClock());
   }
@@ -140,17 +156,22 @@
 }
 
 void UpstreamStandIn::Run(const Session& session) {
-  m_ledger.OnRun(session->Header("Attempt-Id"), m_settings.service,
-                 std::string(session->GetRequest().target()));
+  const std::string target(session->GetRequest().target());
+  m_ledger.OnRun(session->Header("Attempt-Id"), m_settings.service, target,
+                 emulator::ReadMonotonicClock());
   m_running.insert(session);
   session->OnPeerClosed([this, session] {
-    m_running.erase(session);
+    if (m_running.erase(session) > 0) {
+      NoteRunEnd(session, RunEnd::kPeerClosed);
+    }
     StartWaiting();
   });
   const double factor = 0.5 + m_random.NextFraction();
+  const Duration mean_work =
+      target.starts_with(kLongWork) ? kLongMeanWork : m_settings.mean_work;
   const auto timer = std::make_shared<boost::asio::steady_timer>(
-      m_io, std::chrono::microseconds(std::llround(
-                static_cast<double>(m_settings.mean_work.count()) * factor)));
+      m_io, std::chrono::microseconds(
+                std::llround(static_cast<double>(mean_work.count()) * factor)));
   timer->async_wait([this, timer, session, incarnation = m_incarnation](
                         boost::system::error_code error) {
     if (!error && incarnation == m_incarnation && m_running.contains(session)) {
@@ -161,6 +182,7 @@
 
 void UpstreamStandIn::Finish(const Session& session) {
   m_running.erase(session);
+  NoteRunEnd(session, RunEnd::kAnswered);
   const std::string attempt = session->Header("Attempt-Id");
   HttpAnswer answer = MakeAnswer(
       kOk,
@@ -171,6 +193,11 @@
   StartWaiting();
 }
 
+void UpstreamStandIn::NoteRunEnd(const Session& session, RunEnd end) {
+  m_ledger.OnRunEnd(session->Header("Attempt-Id"), end,
+                    emulator::ReadMonotonicClock());
+}
+
 void UpstreamStandIn::StartWaiting() {
   if (!m_waiting.empty() && m_running.size() < m_settings.slots) {
     const Session next = m_waiting.front();
--- a/src/platform/stand_in/upstream_stand_in.h
+++ b/src/platform/stand_in/upstream_stand_in.h
@@ -78,6 +78,7 @@
   void StartWaiting();
   void Run(const Session& session);
   void Finish(const Session& session);
+  void NoteRunEnd(const Session& session, RunEnd end);
   HttpAnswer MakeAnswer(std::int32_t status, std::string body) const;
 
   boost::asio::io_context& m_io;
