--- a/src/platform/stand_in/paced_connection.cc
+++ b/src/platform/stand_in/paced_connection.cc
@@ -225,7 +225,10 @@
   if (end == ExchangeEnd::kAnswered) {
     result.answer.status =
         static_cast<std::int32_t>(m_parser->get().result_int());
-    result.answer.headers = CopyHeaders(m_parser->get());
+    for (const auto& field : m_parser->get()) {
+      result.answer.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
     result.answer.body = std::move(m_parser->get().body());
   }
   if (end == ExchangeEnd::kAnswered && m_parser->get().keep_alive() &&
