--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -236,7 +236,7 @@
         return;
       }
       if (m_stop_requested && signal != SIGINT) {
-        // A stop has its own end; the platform's is SIGKILL.
+        // A platform may repeat SIGTERM; only SIGINT ends the process at once.
         LogWarning(LogLine("stop_already_requested").Add("signal", signal));
         WaitForSignal();
         return;
