--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -149,8 +149,8 @@
   bool IsTooLate(const DispatchRequest& request,
                  const PlacementChoice& choice,
                  MonotonicTime now) const;
-  /** Returns whether this instance stops before the choice could be finished
-   * with certainty enough to begin it. */
+  /** Returns whether too little time is left before this instance stops to
+   * begin the choice. */
   bool IsBeyondStop(const PlacementChoice& choice, MonotonicTime now) const;
   void RefuseForLackOfRoom(Context& context,
                            DispatchRequest& request,
