--- a/review/stand_in_2/platform2.py
+++ b/review/stand_in_2/platform2.py
@@ -576,6 +576,7 @@
         began = time.monotonic()
         answer = await user.client.request("PUT", "a.example", f"{self.path}{random.randrange(500)}", attempt, 2500)
         took = time.monotonic() - began
+        self.d.record(f"sent {attempt}, {took:.3f} s ago; answered {answer.status if answer else 'nothing'}")
         if answer is None:
             user.client.close()
             if is_kept and took < 2.4:  # else the client's own deadline ended it
