An answer that ends with a reset isn't taken for a whole one

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: HttpConnection dropped the error of the write. The kernel reports a reset to one operation only; while a request is being written that is mostly the write, and the read then returns an orderly end of the stream. An answer without a length ends there (RFC 9112, 6.3), so that what had come looked whole.

Change: such an answer is whole only if the stream ended in order. If the write failed, or fails because the connection is down in both directions, its error decides: a stream that ended in order before a reset gives a broken pipe, any other error means that the rest of the answer is missing. An orderly end while the request is still being written is delivered at once. Answers with a length or in chunks state their end and are read as before.

--- a/src/runtime/checked_buffer.h
+++ b/src/runtime/checked_buffer.h
@@ -48,6 +48,8 @@
                                                    : FramingProblem::kExtent;
   }
 
+  /** Returns whether the message extends to the end of its connection. */
+  bool IsUntilClose() const { return m_framing.IsUntilClose(); }
   /** Returns whether the connection persists after the message. */
   bool KeepsConnection() const { return m_framing.KeepsConnection(); }
   std::vector<HttpHeader> TakeHeaders() { return m_framing.TakeHeaders(); }
--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -7,6 +7,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -111,13 +112,12 @@
 
   void Write() {
     m_writing = true;
+    m_write_error = {};
     m_has_request = true;
-    // A server may answer and close before it has read the whole request, so a
-    // write error is ignored; only the read shows whether the exchange failed.
     http::async_write(
         m_stream, m_request,
-        [self = shared_from_this()](const error_code&, std::size_t) {
-          self->m_writing = false;
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          self->Guard([&] { self->OnWritten(error); });
         });
     ReadAnswer();
   }
@@ -268,6 +268,16 @@
     ReadMore();
   }
 
+  /** A server may answer and close before it has read the whole request, so a
+   * write error alone doesn't fail the exchange. */
+  void OnWritten(const error_code& error) {
+    m_writing = false;
+    m_write_error = error;
+    if (m_state == ConnectionState::kBusy && m_awaits_write) {
+      OnEndOfStream();
+    }
+  }
+
   /** Reads in parts, so that the body is counted while it arrives. */
   void ReadMore() {
     http::async_read_some(
@@ -283,13 +293,49 @@
     }
     if (error || !IsFramingValid() || !ReserveBody()) {
       Fail();
-    } else if (m_parser->is_done()) {
-      OnAnswer();
-    } else {
+    } else if (!m_parser->is_done()) {
       ReadMore();
+    } else if (m_buffer.IsUntilClose()) {
+      OnEndOfStream();
+    } else {
+      OnAnswer();
     }
   }
 
+  /**
+   * Decides whether an answer that extends to the end of its connection is
+   * whole, which it is only if the server ended the stream in order (RFC 9112,
+   * 8).
+   *
+   * The kernel reports a reset to one operation. If that is the write, the read
+   * returns an end of stream all the same. A write to a connection whose stream
+   * ended in order before it was reset fails with a broken pipe instead.
+   */
+  void OnEndOfStream() {
+    m_awaits_write = m_writing && IsConnectionDown();
+    if (m_awaits_write) {
+      return;
+    }
+    if (!m_write_error || m_write_error == asio::error::broken_pipe) {
+      OnAnswer();
+      return;
+    }
+    LogWarning(LogLine("answer_incomplete")
+                   .Add(kIdKey, m_message_id)
+                   .Add("status", m_parser->get().result_int())
+                   .Add("bytes", m_parser->get().body().size())
+                   .Add("error", m_write_error.message()));
+    Fail();
+  }
+
+  /** Returns whether both directions of the connection have ended, so that a
+   * write in progress fails. */
+  bool IsConnectionDown() {
+    pollfd events{m_stream.socket().native_handle(), 0, 0};
+    return ::poll(&events, 1, 0) > 0 &&
+           (events.revents & (POLLERR | POLLHUP)) != 0;
+  }
+
   bool IsFramingValid() const {
     const FramingProblem problem =
         m_parser->is_done() ? m_buffer.ProblemOfWhole() : m_buffer.Problem();
@@ -382,6 +428,10 @@
   BelongsFunction m_belongs;
   bool m_is_head = false;
   bool m_writing = false;
+  /** Why the request could not be written whole. */
+  error_code m_write_error;
+  /** Whether the result of the write decides if the answer is whole. */
+  bool m_awaits_write = false;
   /** Whether closing the connection gives up a request. */
   bool m_has_request = false;
   /** Answers skipped since the request was sent. */
--- a/src/runtime/http_connection_test.cc
+++ b/src/runtime/http_connection_test.cc
@@ -1,9 +1,13 @@
 #include "runtime/http_connection.h"
 
+#include <array>
+#include <chrono>
 #include <cstdlib>
 #include <functional>
 #include <future>
 #include <optional>
+#include <string>
+#include <thread>
 #include <utility>
 
 #include <sys/wait.h>
@@ -76,6 +80,41 @@
   HttpConnection m_connection;
 };
 
+constexpr const char* kPartUntilClose = "HTTP/1.1 200 OK\r\n\r\npart";
+
+/** Pauses between the steps of a server, so that its client learns of several
+ * at once, or of each by itself. */
+constexpr std::array<std::chrono::milliseconds, 2> kPauses = {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(20)};
+/** The kernel and the event loop order simultaneous events differently. */
+constexpr int kRepetitions = 10;
+
+/** How a server ends a connection. */
+using EndConnection = std::function<void(StalledServer&)>;
+
+const EndConnection kReset = [](StalledServer& server) { server.Reset(); };
+const EndConnection kCloseUnread = [](StalledServer& server) {
+  server.Close();
+};
+const EndConnection kEndStream = [](StalledServer& server) {
+  server.EndStream();
+};
+
+/** Returns what a client gets from a server that answers a request of
+ * `body_bytes` by `answer` without reading it, and then ends the connection. */
+std::optional<HttpResult> GetEarlyAnswer(std::size_t body_bytes,
+                                         const std::string& answer,
+                                         std::chrono::milliseconds pause,
+                                         const EndConnection& end) {
+  StalledFixture fixture;
+  fixture.Send(MakePost(body_bytes));
+  fixture.server.Write(answer);
+  std::this_thread::sleep_for(pause);
+  end(fixture.server);
+  REQUIRE(fixture.results.WaitForCount(1));
+  return fixture.results.Values()[0];
+}
+
 void CheckGivenUp(const ReceivedBytes& received) {
   CHECK(received.end == ConnectionEnd::kReset);
   CHECK(received.count < StalledServer::kHeldBytes);
@@ -116,6 +155,68 @@
   CheckGivenUp(fixture.server.ReadToEnd());
 }
 
+// Guards against a part of an answer that a caller gets as a whole one. The
+// kernel reports a reset to one operation only: if that is the write of the
+// request, the read returns an orderly end of the stream.
+TEST_CASE("An answer without a length that ends with a reset is incomplete") {
+  for (const std::size_t body_bytes : {std::size_t{1}, kLargeBytes}) {
+    for (const auto pause : kPauses) {
+      CAPTURE(body_bytes);
+      CAPTURE(pause.count());
+      for (int i = 0; i < kRepetitions; ++i) {
+        for (const auto& end : {kReset, kCloseUnread}) {
+          CHECK_FALSE(GetEarlyAnswer(body_bytes, kPartUntilClose, pause, end)
+                          .has_value());
+        }
+      }
+    }
+  }
+}
+
+// Guards against refusing answers of servers that answer before they have read
+// the request, and read no further (RFC 9112, 9.6).
+TEST_CASE("An answer without a length that ends in order is complete") {
+  for (const std::size_t body_bytes : {std::size_t{1}, kLargeBytes}) {
+    for (const auto pause : kPauses) {
+      CAPTURE(body_bytes);
+      CAPTURE(pause.count());
+      for (int i = 0; i < kRepetitions; ++i) {
+        for (const auto reset_pause : kPauses) {
+          const auto answer = GetEarlyAnswer(
+              body_bytes, kPartUntilClose, pause, [&](StalledServer& server) {
+                server.EndStream();
+                std::this_thread::sleep_for(reset_pause);
+                server.Reset();
+              });
+          REQUIRE(answer.has_value());
+          CHECK(answer->answer.body == "part");
+        }
+        REQUIRE(GetEarlyAnswer(body_bytes, kPartUntilClose, pause, kEndStream)
+                    .has_value());
+      }
+    }
+  }
+}
+
+TEST_CASE("A reset after an early answer that states its end changes nothing") {
+  const std::string with_length =
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+  for (const auto pause : kPauses) {
+    CAPTURE(pause.count());
+    for (const std::string& whole :
+         {with_length + "part", chunked + "0\r\n\r\n"}) {
+      const auto answer = GetEarlyAnswer(kLargeBytes, whole, pause, kReset);
+      REQUIRE(answer.has_value());
+      CHECK(answer->answer.body == "part");
+    }
+    for (const std::string& part : {with_length + "par", chunked}) {
+      CHECK_FALSE(GetEarlyAnswer(kLargeBytes, part, pause, kReset).has_value());
+    }
+  }
+}
+
 TEST_CASE("What is left of a request isn't delivered after its process ended") {
   StalledServer server;
   const pid_t child = ::fork();
--- a/src/runtime/stalled_server.h
+++ b/src/runtime/stalled_server.h
@@ -57,9 +57,22 @@
                        boost::asio::buffer(bytes.data(), bytes.size()));
   }
 
-  /** Ends the connection. Precondition: the connection is accepted. */
+  /** Ends the connection; with unread bytes, the kernel resets it.
+   * Precondition: the connection is accepted. */
   void Close() { m_socket.close(); }
 
+  /** Ends the stream of bytes to the client in order. Precondition: the
+   * connection is accepted. */
+  void EndStream() {
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  }
+
+  /** Resets the connection. Precondition: the connection is accepted. */
+  void Reset() {
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+    m_socket.close();
+  }
+
   /** Reads until the connection ends, or nothing arrives for kTestTimeout.
    * Precondition: the connection is accepted. */
   ReceivedBytes ReadToEnd() {
--- a/src/runtime/upstream_client_test.cc
+++ b/src/runtime/upstream_client_test.cc
@@ -256,6 +256,42 @@
   CHECK(received.count < StalledServer::kHeldBytes);
 }
 
+// Guards against a part of an answer that is passed on as a whole one, and
+// against a repeat of a request that the upstream may have run.
+TEST_CASE("A request whose early answer is reset may have run") {
+  StalledServer upstream;
+  RecordingEvents events;
+  const LinkDelays delays{ZoneName("a"), std::nullopt};
+  IoThread io;
+  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
+  io.Start();
+  io.Post([&] {
+    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
+  });
+  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+  upstream.Accept();
+  SendUpstream effect;
+  effect.connection = kConnection;
+  effect.send_before = ReadSystemClock().monotonic + Seconds(60);
+  effect.http.method = "POST";
+  effect.http.target = "/";
+  // More than the kernel takes for one connection.
+  effect.http.body = std::string(32U << 20U, 'b');
+  std::promise<void> sent;
+  io.Post([&] {
+    client.Send(effect);
+    sent.set_value();
+  });
+  sent.get_future().wait();
+  upstream.Write("HTTP/1.1 200 OK\r\n\r\npart");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  upstream.Reset();
+  const auto lost = events.Get<ConnectionLost>(1);
+  io.Stop();
+  REQUIRE(lost.has_value());
+  CHECK_FALSE(lost->unwritten);
+}
+
 // Guards against requests that are written although the upstream has already
 // closed the connection, whose callers can't be told that they have not run,
 // and against an unsolicited answer that is taken for the next one (MIXED).
