A connection whose request wasn't written whole isn't kept

The exchange was reported with `keep_alive`, if the write had failed before the answer was read.

What callers saw: the next request that was given this connection found it closed and was sent on another one, which costs time; nothing broken was passed on, as a connection is looked at before each send.

Cause: a connection counted as reusable if no write was in progress, also after one that had failed. Its error is now part of that condition.

Evidence: the new test lets both arrive at once.

--- a/src/runtime/http_connection.cc
+++ b/src/runtime/http_connection.cc
@@ -366,7 +366,7 @@
     }
     HttpResult result;
     result.keep_alive = m_buffer.KeepsConnection() && m_buffer.size() == 0 &&
-                        !m_writing && !m_has_stray_answers;
+                        !m_writing && !m_write_error && !m_has_stray_answers;
     result.answer.status = static_cast<int>(m_parser->get().result_int());
     result.answer.headers = m_buffer.TakeHeaders();
     result.answer.body = std::move(m_parser->get().body());
--- a/src/runtime/http_connection_test.cc
+++ b/src/runtime/http_connection_test.cc
@@ -62,6 +62,20 @@
     Run([this] { m_connection.Close(); });
   }
 
+  /** Runs `work` while the connection's thread is blocked, so that the
+   * connection learns of all that `work` does at once. */
+  void RunUnnoticed(const std::function<void()>& work) {
+    std::promise<void> blocked;
+    std::promise<void> done;
+    m_io.Post([&blocked, end = done.get_future().share()] {
+      blocked.set_value();
+      end.wait();
+    });
+    blocked.get_future().wait();
+    work();
+    done.set_value();
+  }
+
   StalledServer server;
   Recorder<std::optional<HttpResult>> results;
 
@@ -217,6 +231,20 @@
   }
 }
 
+// Guards against a broken connection that is offered for the next request: its
+// answer was read after the write had failed.
+TEST_CASE("A connection whose request wasn't written whole isn't kept") {
+  StalledFixture fixture;
+  fixture.Send(MakePost(kLargeBytes));
+  fixture.RunUnnoticed([&] {
+    fixture.server.Write("HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n");
+    fixture.server.Reset();
+  });
+  REQUIRE(fixture.results.WaitForCount(1));
+  REQUIRE(fixture.results.Values()[0].has_value());
+  CHECK_FALSE(fixture.results.Values()[0]->keep_alive);
+}
+
 TEST_CASE("What is left of a request isn't delivered after its process ended") {
   StalledServer server;
   const pid_t child = ::fork();
