An answer with a status above 599 breaks its connection

Found while looking for the class of the status 000: RFC 9110, 15 calls statuses outside of 100 to 599 invalid, and only the lower bound was checked.

What callers saw: an upstream's answer with a status such as 999 reached them as a 502 with the upstream's own headers and body, which states another status than the upstream did; an idempotent request wasn't sent again, since the status counted as an answer and not as a failure of the upstream (read from the code).

Change: MessageFraming refuses such a status like one below 100, so that the exchange is broken: an idempotent request may be sent again, another gets a 502 of the instance's own.

--- a/src/runtime/invalid_answer_test.cc
+++ b/src/runtime/invalid_answer_test.cc
@@ -25,8 +25,8 @@
   std::vector<std::string> answers;
   for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
     for (const std::string status :
-         {"000", "001", "099", "0", "00", "20", "2000", "-20", "+20", "2 0",
-          "20x", "0x1", ""}) {
+         {"000", "001", "099", "0", "00", "20", "600", "999", "2000", "-20",
+          "+20", "2 0", "20x", "0x1", ""}) {
       answers.push_back(version + status + " Odd\r\n" + kRest);
       answers.push_back(version + status + " Odd\r\n\r\nx");
     }
--- a/src/runtime/message_framing.cc
+++ b/src/runtime/message_framing.cc
@@ -13,10 +13,12 @@
 
 constexpr std::string_view kHttp10 = "HTTP/1.0";
 constexpr std::string_view kHttp11 = "HTTP/1.1";
+constexpr std::int32_t kMinStatus = 100;
 constexpr std::int32_t kSwitchingProtocols = 101;
 constexpr std::int32_t kFirstFinalStatus = 200;
 constexpr std::int32_t kNoContent = 204;
 constexpr std::int32_t kNotModified = 304;
+constexpr std::int32_t kMaxStatus = 599;
 /** Larger lengths overflow signed numbers of 64 bits in some recipients. */
 constexpr std::uint64_t kMaxLength = INT64_MAX;
 
@@ -300,7 +302,8 @@
   const auto status = ReadNumber(line.substr(kStatusBegin, kStatusDigits), 10);
   m_status = static_cast<std::int32_t>(status.value_or(0));
   // No request asks for another protocol, whose bytes would follow.
-  if (m_status < 100 || m_status == kSwitchingProtocols) {
+  if (m_status < kMinStatus || m_status > kMaxStatus ||
+      m_status == kSwitchingProtocols) {
     Fail(FramingProblem::kStatus);
   }
 }
--- a/src/runtime/message_framing_test.cc
+++ b/src/runtime/message_framing_test.cc
@@ -265,6 +265,7 @@
                "Content-Length: 1\r\n\r\nx",
            std::string("HTTP/1.1 099 Odd\r\n\r\n") + ok +
                "Content-Length: 1\r\n\r\nx",
+           std::string("HTTP/1.1 600 Odd\r\nContent-Length: 1\r\n\r\nx"),
            std::string("HTTP/1.2 200 OK\r\nContent-Length: 1\r\n\r\nx"),
            chunked + "0x1\r\nx\r\n0\r\n\r\n",
            chunked + "1 \r\nx\r\n0\r\n\r\n",
@@ -463,15 +464,16 @@
       chooser.Pick({"", "HTTP/1.1 100 Continue\r\n\r\n"},
                    {"HTTP/1.1 101 Switching Protocols\r\n\r\n",
                     "HTTP/1.1 100 Continue\r\nContent-Length: 1\r\n\r\n"});
-  return Join({interim,
-               chooser.Pick({"HTTP/1.1"},
-                            {"HTTP/1.0", "HTTP/1.2", "HTTP/2.0", "http/1.1"}),
-               chooser.Pick({" "}, {"  ", "\t", ""}),
-               chooser.Pick({"200", "404", "503", "204", "304"},
-                            {"000", "099", "20", "2000", "-20", "2x0", ""}),
-               chooser.Pick({" OK", " "}, {"\x01", " a\x7f"}),
-               DrawLineEnd(chooser), DrawField(chooser), DrawField(chooser),
-               DrawFramedRest(chooser)});
+  return Join(
+      {interim,
+       chooser.Pick({"HTTP/1.1"},
+                    {"HTTP/1.0", "HTTP/1.2", "HTTP/2.0", "http/1.1"}),
+       chooser.Pick({" "}, {"  ", "\t", ""}),
+       chooser.Pick(
+           {"200", "404", "503", "204", "304"},
+           {"000", "099", "600", "999", "20", "2000", "-20", "2x0", ""}),
+       chooser.Pick({" OK", " "}, {"\x01", " a\x7f"}), DrawLineEnd(chooser),
+       DrawField(chooser), DrawField(chooser), DrawFramedRest(chooser)});
 }
 
 bool HasHeader(const std::vector<HttpHeader>& headers, std::string_view name) {
--- a/src/runtime/strict_http_reader.h
+++ b/src/runtime/strict_http_reader.h
@@ -44,7 +44,7 @@
 
   StrictResult ReadAnswer(bool to_head, StrictMessage& message) {
     static const std::regex kLine(
-        "(HTTP)/1\\.(?=[01] )(?:[01]) ([1-9][0-9]{2}) ([^\\x01-\\x08]*)");
+        "(HTTP)/1\\.(?=[01] )(?:[01]) ([1-5][0-9]{2}) ([^\\x01-\\x08]*)");
     return Read(message, kLine, false, to_head);
   }
 
