Tools take no invalid answer for an answer

Found by checking every place that reads answers: the operator tool and the callers of the load tool read with Beast's parser alone.

What users saw: a status such as 000 or 999, or a folded header line, counted as an answer of an instance, so that the load tool couldn't notice an instance that passes such bytes on. Trailer fields were taken for headers (RFC 9110, 6.5.1).

Cause: Beast's parser accepts these. Both clients now share AnswerReader, which feeds every byte to MessageFraming as the daemon does; what it refuses counts as no reply. That replaces two copies of the conversion of answers.

--- a/src/runtime/invalid_answer_test.cc
+++ b/src/runtime/invalid_answer_test.cc
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "runtime/invalid_answers.h"
 #include "runtime/metrics.h"
 #include "runtime/one_answer_server.h"
 #include "runtime/store_client.h"
@@ -17,55 +18,6 @@
 
 constexpr ConnectionId kConnection{1};
 constexpr Duration kTimeout = Seconds(2);
-const std::string kOk = "HTTP/1.1 200 OK\r\n";
-const std::string kRest = "Content-Length: 1\r\n\r\nx";
-
-/** Returns answers whose status line is invalid. */
-std::vector<std::string> MakeInvalidStatusLines() {
-  std::vector<std::string> answers;
-  for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
-    for (const std::string status :
-         {"000", "001", "099", "0", "00", "20", "600", "999", "2000", "-20",
-          "+20", "2 0", "20x", "0x1", ""}) {
-      answers.push_back(version + status + " Odd\r\n" + kRest);
-      answers.push_back(version + status + " Odd\r\n\r\nx");
-    }
-  }
-  return answers;
-}
-
-/** Returns header lines whose name is invalid. */
-std::vector<std::string> MakeInvalidHeaders() {
-  return {"A B: 1\r\n",   "A : 1\r\n",    "A\t: 1\r\n",
-          " A: 1\r\n",    "\tA: 1\r\n",   "Content-Length : 1\r\n",
-          "A\x01: 1\r\n", "\x1f: 1\r\n",  std::string("A\0B: 1\r\n", 8),
-          "A\x7f: 1\r\n", "A\x80: 1\r\n", "A\r: 1\r\n",
-          "A\n: 1\r\n",   "A(B): 1\r\n",  ": 1\r\n",
-          "A\r\n"};
-}
-
-/** Returns answers that are invalid before the end of their head. */
-std::vector<std::string> MakeInvalidHeads() {
-  std::vector<std::string> answers = MakeInvalidStatusLines();
-  for (const std::string& header : MakeInvalidHeaders()) {
-    answers.push_back(kOk + header + kRest);
-    answers.push_back(kOk + "A: 1\r\n" + header + kRest);
-    answers.push_back("HTTP/1.0 200 OK\r\n" + header + kRest);
-    answers.push_back(kOk + header + "\r\nx");
-    answers.push_back("HTTP/1.1 103 Hints\r\n" + header + "\r\n" + kOk + kRest);
-  }
-  return answers;
-}
-
-std::vector<std::string> MakeInvalidAnswers() {
-  std::vector<std::string> answers = MakeInvalidHeads();
-  for (const std::string& header : MakeInvalidHeaders()) {
-    answers.push_back(kOk +
-                      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" +
-                      header + "\r\n");
-  }
-  return answers;
-}
 
 /** A thread with events, for one exchange. */
 struct Exchange {
@@ -173,7 +125,7 @@
   const std::string interim = "HTTP/1.1 103 Hints\r\nA: 1\r\n\r\n";
   for (const std::string status : {"200", "299", "404", "500", "599"}) {
     const OneAnswerServer upstream(
-        interim + "HTTP/1.1 " + status + " \r\nA!#$: 1\r\n" + kRest,
+        interim + "HTTP/1.1 " + status + " \r\nA!#$: 1\r\n" + kEndOfOneByte,
         AnswerPace::kByteByByte);
     const Event event = SendToUpstream("GET", upstream.Address());
     const auto* answered = std::get_if<UpstreamAnswered>(&event);
@@ -181,9 +133,9 @@
     CHECK(std::to_string(answered->answer.status) == status);
     CHECK(answered->answer.body == "x");
   }
-  const OneAnswerServer upstream(interim + kOk + kRest);
+  const OneAnswerServer upstream(interim + kOkStatusLine + kEndOfOneByte);
   CHECK(IsHealthy(upstream.Address()));
-  const OneAnswerServer store(interim + kOk + kRest);
+  const OneAnswerServer store(interim + kOkStatusLine + kEndOfOneByte);
   CHECK(CallStoreAt(store.Address()) == StoreStatus::kOk);
 }
 
--- a/src/tools/caller_connections.cc
+++ b/src/tools/caller_connections.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "emulator/network_address.h"
+#include "tools/answer_reader.h"
 
 namespace kumquatcove {
 namespace {
@@ -85,34 +84,28 @@
 
  private:
   void Read() {
-    m_parser.emplace();
-    m_parser->body_limit(2 * kMaxBodyBytes);
-    http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](error_code error, std::size_t) {
-          if (error) {
-            self->Finish(HttpFailure::kNoReply);
-          } else {
-            self->FinishWithAnswer();
-          }
-        });
+    m_reader.Begin(2 * kMaxBodyBytes);
+    m_reader.Read(m_stream,
+                  [self = shared_from_this()](error_code error, std::size_t) {
+                    if (error) {
+                      self->Finish(HttpFailure::kNoReply);
+                    } else {
+                      self->FinishWithAnswer();
+                    }
+                  });
   }
 
   void FinishWithAnswer() {
-    const bool keep_alive = m_parser->keep_alive();
-    auto response = m_parser->release();
-    HttpAnswer answer;
-    answer.status = static_cast<std::int32_t>(response.result_int());
-    for (const auto& field : response) {
-      answer.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
-    answer.body = std::move(response.body());
-    if (keep_alive && m_buffer.size() == 0) {
+    if (m_reader.KeepsConnection()) {
       m_stream.expires_never();
       m_owner.m_idle[m_address].push_back(shared_from_this());
     }
-    Finish(std::move(answer));
+    std::optional<HttpAnswer> answer = m_reader.Take();
+    if (answer) {
+      Finish(std::move(*answer));
+    } else {
+      Finish(HttpFailure::kNoReply);
+    }
   }
 
   void Finish(HttpResult result) {
@@ -123,9 +116,8 @@
   CallerConnections& m_owner;
   std::string m_address;
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  AnswerReader m_reader;
   http::request<http::string_body> m_request;
-  std::optional<http::response_parser<http::string_body>> m_parser;
   Done m_done;
 };
 
--- a/src/tools/http_client.cc
+++ b/src/tools/http_client.cc
@@ -1,14 +1,16 @@
 #include "tools/http_client.h"
 
+#include <optional>
+#include <utility>
+
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "emulator/network_address.h"
+#include "tools/answer_reader.h"
 
 namespace kumquatcove {
 namespace {
@@ -36,17 +38,6 @@
   return message;
 }
 
-HttpAnswer ToAnswer(http::response<http::string_body> response) {
-  HttpAnswer answer;
-  answer.status = static_cast<std::int32_t>(response.result_int());
-  for (const auto& field : response) {
-    answer.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  answer.body = std::move(response.body());
-  return answer;
-}
-
 }  // namespace
 
 HttpResult SendHttp(const std::string& address,
@@ -59,9 +50,8 @@
   boost::asio::io_context io(1);
   beast::tcp_stream stream(io);
   const auto message = MakeRequest(address, request);
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
+  AnswerReader reader;
+  reader.Begin(kMaxAnswerBytes);
   HttpResult result = HttpFailure::kNotSent;
   stream.expires_after(timeout);
   stream.async_connect(*endpoint, [&](error_code connect_error) {
@@ -73,12 +63,15 @@
       if (error) {
         return;
       }
-      http::async_read(stream, buffer, parser,
-                       [&](error_code read_error, std::size_t) {
-                         if (!read_error) {
-                           result = ToAnswer(parser.release());
-                         }
-                       });
+      reader.Read(stream, [&](error_code read_error, std::size_t) {
+        std::optional<HttpAnswer> answer;
+        if (!read_error) {
+          answer = reader.Take();
+        }
+        if (answer) {
+          result = std::move(*answer);
+        }
+      });
     });
   });
   io.run();
--- a/src/tools/tools.h
+++ b/src/tools/tools.h
@@ -9,6 +9,7 @@
  * The load tool plays callers: it looks up entry instances, sends requests in
  * an open loop and checks every answer.
  */
+#include "tools/answer_reader.h"
 #include "tools/caller_connections.h"
 #include "tools/catalogue_reader.h"
 #include "tools/entry_directory.h"
