Soak: an invalid answer is a violation of its own

An instance that passes on such bytes wasn't noticed.

PacedConnection reads by AnswerReader now and ends such an exchange as invalid; the ledger counts that as a violation at any time.

--- a/src/platform/stand_in/paced_connection.cc
+++ b/src/platform/stand_in/paced_connection.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "runtime/beast_message.h"
 #include "runtime/network_address.h"
@@ -135,9 +134,7 @@
         }
       });
   m_read_since_pause = 0;
-  m_parser.emplace();
-  m_parser->eager(true);
-  m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  m_reader.Begin(std::numeric_limits<std::uint64_t>::max());
   WritePiece(0);
   Read();
 }
@@ -167,23 +164,26 @@
 }
 
 void PacedConnection::Read() {
-  http::async_read_some(m_socket, m_buffer, *m_parser,
-                        [self = shared_from_this(), exchange = m_exchange](
-                            error_code error, std::size_t bytes) {
-                          if (self->m_exchange == exchange) {
-                            self->m_read_since_pause += bytes;
-                            self->OnRead(error);
-                          }
-                        });
+  m_reader.ReadSome(m_socket,
+                    [self = shared_from_this(), exchange = m_exchange](
+                        error_code error, std::size_t bytes) {
+                      if (self->m_exchange == exchange) {
+                        self->m_read_since_pause += bytes;
+                        self->OnRead(error);
+                      }
+                    });
 }
 
 void PacedConnection::OnRead(error_code error) {
-  if (error == http::error::end_of_stream ||
-      error == http::error::partial_message || error == asio::error::eof) {
+  if (m_reader.IsInvalid()) {
+    End(ExchangeEnd::kInvalid);
+  } else if (error == http::error::end_of_stream ||
+             error == http::error::partial_message ||
+             error == asio::error::eof) {
     OnServerClosed();
   } else if (error) {
     End(ExchangeEnd::kReset);
-  } else if (m_parser->is_done()) {
+  } else if (m_reader.IsDone()) {
     End(ExchangeEnd::kAnswered);
   } else if (m_reads_slowly && m_read_since_pause >= kReadBytes) {
     m_read_since_pause = 0;
@@ -222,17 +222,12 @@
   m_write_timer.cancel();
   ExchangeResult result;
   result.end = end;
+  const bool keeps =
+      end == ExchangeEnd::kAnswered && m_is_sent && m_reader.KeepsConnection();
   if (end == ExchangeEnd::kAnswered) {
-    result.answer.status =
-        static_cast<std::int32_t>(m_parser->get().result_int());
-    for (const auto& field : m_parser->get()) {
-      result.answer.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    }
-    result.answer.body = std::move(m_parser->get().body());
+    result.answer = m_reader.Take().value();
   }
-  if (end == ExchangeEnd::kAnswered && m_parser->get().keep_alive() &&
-      m_is_sent && m_buffer.size() == 0) {
+  if (keeps) {
     BecomeIdle();
   } else {
     Close();
--- a/src/platform/stand_in/paced_connection.h
+++ b/src/platform/stand_in/paced_connection.h
@@ -5,20 +5,17 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "base/clock_reading.h"
 #include "base/enum_table.h"
 #include "protocol/http_message.h"
+#include "tools/answer_reader.h"
 
 namespace kumquatcove::stand_in {
 
@@ -30,6 +27,8 @@
   kClosed,
   /** The connection was reset; the server may not have read all. */
   kReset,
+  /** The server sent bytes that are no valid answer. */
+  kInvalid,
   kGivenUp,
   kNotOpened,
 };
@@ -39,6 +38,7 @@
   return std::array{Row{ExchangeEnd::kAnswered, "answered"},
                     Row{ExchangeEnd::kClosed, "closed"},
                     Row{ExchangeEnd::kReset, "reset"},
+                    Row{ExchangeEnd::kInvalid, "invalid"},
                     Row{ExchangeEnd::kGivenUp, "given up"},
                     Row{ExchangeEnd::kNotOpened, "not opened"}};
 }
@@ -111,10 +111,7 @@
   OpenedCallback m_opened;
   SentCallback m_sent;
   EndCallback m_ended;
-  boost::beast::flat_buffer m_buffer;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      m_parser;
+  AnswerReader m_reader;
 };
 
 }  // namespace kumquatcove::stand_in
--- a/src/platform/stand_in/paced_connection_test.cc
+++ b/src/platform/stand_in/paced_connection_test.cc
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/strings/str_cat.h>
@@ -11,7 +12,9 @@
 #include "emulator/http_server.h"
 #include "emulator/steady_clock.h"
 #include "platform/stand_in/soak_instances.h"
+#include "runtime/invalid_answers.h"
 #include "runtime/io_thread.h"
+#include "runtime/one_answer_server.h"
 
 namespace kumquatcove::stand_in {
 namespace {
@@ -96,6 +99,28 @@
         ExchangeEnd::kReset);
 }
 
+// Guards against a soak that doesn't notice an instance which passes on bytes
+// that are no answer.
+TEST_CASE("An invalid answer differs from an answer and from a reset") {
+  for (const std::string& bytes : MakeInvalidAnswers()) {
+    CAPTURE(bytes);
+    const OneAnswerServer server(bytes);
+    boost::asio::io_context io;
+    const auto connection = std::make_shared<PacedConnection>(io);
+    std::optional<ExchangeEnd> end;
+    connection->Open(server.Address(), Seconds(1), [&](bool) {
+      HttpRequest request;
+      request.method = "GET";
+      request.target = "/browse/1";
+      connection->Send(
+          request, "shop.example", {}, Seconds(5), [] {},
+          [&](const ExchangeResult& result) { end = result.end; });
+    });
+    io.run();
+    CHECK(end == ExchangeEnd::kInvalid);
+  }
+}
+
 // A server that closes with unread bytes ends the stream and then resets it.
 TEST_CASE("A server that hasn't read all resets the connection") {
   boost::asio::io_context io;
--- a/src/platform/stand_in/soak_ledger.cc
+++ b/src/platform/stand_in/soak_ledger.cc
@@ -112,6 +112,9 @@
   if (!whole) {
     OnViolation("a success isn't the upstream's answer: " + attempt);
   }
+  if (end == ExchangeEnd::kInvalid) {
+    OnViolation("not a valid answer: " + attempt);
+  }
 }
 
 void SoakLedger::OnRequestEnd(MonotonicTime started, bool served) {
--- a/src/platform/stand_in/soak_ledger_test.cc
+++ b/src/platform/stand_in/soak_ledger_test.cc
@@ -120,6 +120,12 @@
   CHECK_FALSE(IsLost(replaced));
 }
 
+TEST_CASE("bytes that are no valid answer are never excused") {
+  CHECK_FALSE(IsLost({.has_arrived = false, .status = 0, .ended = 10}));
+  CHECK(IsLost(
+      {.has_arrived = false, .end = ExchangeEnd::kInvalid, .ended = 10}));
+}
+
 TEST_CASE("a freeze excuses the requests of its instance only") {
   const Exchange cut{
       .sent = 2'000, .run_begin = 2'010, .run_end = 4'000, .ended = 4'000};
--- a/src/tools/answer_reader.h
+++ b/src/tools/answer_reader.h
@@ -38,6 +38,12 @@
     boost::beast::http::async_read(stream, m_buffer, *m_parser,
                                    std::move(handler));
   }
+  /** Reads a part of the answer; as above. */
+  template <class Stream, class Handler>
+  void ReadSome(Stream& stream, Handler handler) {
+    boost::beast::http::async_read_some(stream, m_buffer, *m_parser,
+                                        std::move(handler));
+  }
 
   /** Returns whether the answer has ended. */
   bool IsDone() const { return m_parser->is_done(); }
