Soak: uploads that are answered in part and reset

In the new fault a tenth of the requests are uploads of 8 MiB, more than the kernel holds for one connection, and the links to the upstreams of their service answer each with a part of a 200 without a length, then reset it. Other requests pass. The limit for bodies of the soak's configuration is 8 MiB instead of 1 MiB.

--- a/src/platform/stand_in/caller_stand_in.cc
+++ b/src/platform/stand_in/caller_stand_in.cc
@@ -11,6 +11,7 @@
 #include <boost/json/value_to.hpp>
 
 #include "emulator/steady_clock.h"
+#include "platform/stand_in/link_proxy.h"
 #include "platform/stand_in/upstream_stand_in.h"
 #include "runtime/http_fields.h"
 
@@ -95,7 +96,21 @@
   Try(number);
 }
 
+void CallerStandIn::MakeUpload(const SoakRoute& route, Call& call) {
+  call.route = &route;
+  call.target =
+      absl::StrCat(std::string(route.prefix), m_random.NextBelow(kObjects));
+  // The bytes differ, so that instances don't take them for one request that
+  // crashes upstreams.
+  call.body = absl::StrCat("upload ", m_last_call, " ");
+  call.body.resize(LinkProxy::kUploadBytes, 'u');
+}
+
 void CallerStandIn::DrawRequest(Call& call) {
+  if (m_upload_share > 0 && m_random.NextFraction() < m_upload_share) {
+    MakeUpload(*FindSoakRoute(kUploads), call);
+    return;
+  }
   double share = m_random.NextFraction();
   for (const SoakRoute& route : kSoakRoutes) {
     call.route = &route;
--- a/src/platform/stand_in/caller_stand_in.h
+++ b/src/platform/stand_in/caller_stand_in.h
@@ -46,6 +46,9 @@
   void Start();
   /** Sends nothing new; what is under way goes on. */
   void Stop() { m_stopped = true; }
+  /** Sets the share of requests that are uploads, which no upstream reads at
+   * once. */
+  void SetUploadShare(double share) { m_upload_share = share; }
   /** Returns the number of requests under way. */
   std::size_t Pending() const { return m_calls.size(); }
 
@@ -89,6 +92,8 @@
   std::shared_ptr<PacedConnection> TakeAnyIdle(std::string& address);
   /** Draws what a call sends and at which pace. */
   void DrawRequest(Call& call);
+  /** Makes a call an upload to the service of `route`. */
+  void MakeUpload(const SoakRoute& route, Call& call);
   /** Notes a send of a call and returns what it sends. */
   HttpRequest BeginSend(Call& call);
   void Discard(std::unique_ptr<HttpConnection> connection);
@@ -105,6 +110,7 @@
   std::map<std::string, std::vector<std::shared_ptr<PacedConnection>>> m_idle;
   std::uint64_t m_last_call = 0;
   std::uint64_t m_last_attempt = 0;
+  double m_upload_share = 0;
   bool m_stopped = false;
 };
 
--- a/src/platform/stand_in/link_proxy.cc
+++ b/src/platform/stand_in/link_proxy.cc
@@ -3,8 +3,11 @@
 #include <chrono>
 #include <deque>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +20,24 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+/** Time for which a client can read a part of an answer before the reset. */
+constexpr Duration kTimeUntilReset = Milliseconds(10);
+
+/** Returns the value of a header in the bytes of a request; empty if absent. */
+std::string FindValue(std::string_view bytes, const std::string& name) {
+  const std::string line = "\r\n" + name + ": ";
+  const std::size_t found = bytes.find(line);
+  if (found == std::string_view::npos) {
+    return {};
+  }
+  const std::string_view value = bytes.substr(found + line.size());
+  return std::string(value.substr(0, value.find('\r')));
+}
+
+}  // namespace
+
 /** Two sockets and the bytes between them. */
 class LinkProxy::Connection
     : public std::enable_shared_from_this<LinkProxy::Connection> {
@@ -103,6 +124,11 @@
       Reset();
       return;
     }
+    if (*m_fault == LinkFault::kBreaksOffUploads &&
+        &direction == &m_to_server &&
+        BreakOffUpload({direction.buffer.data(), size})) {
+      return;
+    }
     const Duration delay =
         *m_fault == LinkFault::kDelayed ? kDelay : Duration(0);
     direction.chunks.push_back({emulator::ReadMonotonicClock() + delay,
@@ -113,6 +139,27 @@
     }
   }
 
+  /** Answers an upload in part and then resets the connection, without reading
+   * on. Returns false if `bytes` don't begin an upload. */
+  bool BreakOffUpload(std::string_view bytes) {
+    std::size_t length = 0;
+    if (!absl::SimpleAtoi(FindValue(bytes, "Content-Length"), &length) ||
+        length < kUploadBytes) {
+      return false;
+    }
+    m_part = absl::StrCat(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: ", FindValue(bytes, "Attempt-Id"),
+        "\r\nServer-Seal: sealed\r\n\r\npart");
+    boost::asio::async_write(
+        m_client, boost::asio::buffer(m_part),
+        [self = shared_from_this()](const error_code& /*error*/, std::size_t) {
+          self->m_to_server.timer.expires_after(kTimeUntilReset);
+          self->m_to_server.timer.async_wait(
+              [self](const error_code& /*error*/) { self->Reset(); });
+        });
+    return true;
+  }
+
   void Write(Direction& direction) {
     if (direction.writing || direction.chunks.empty() || m_silent ||
         IsCut(direction)) {
@@ -166,6 +213,8 @@
   Direction m_to_server;
   Direction m_to_client;
   std::shared_ptr<const LinkFault> m_fault;
+  /** Part of an answer that is written to the client. */
+  std::string m_part;
   bool m_silent = false;
 };
 
--- a/src/platform/stand_in/link_proxy.h
+++ b/src/platform/stand_in/link_proxy.h
@@ -27,6 +27,9 @@
   kCutToClient,
   /** Open connections and new ones are reset. */
   kReset,
+  /** Uploads are answered in part before they have been read, and their
+   * connections then reset. */
+  kBreaksOffUploads,
 };
 
 constexpr auto EnumNames(LinkFault) {
@@ -36,7 +39,8 @@
                     Row{LinkFault::kOpenSilent, "open connections silent"},
                     Row{LinkFault::kCutToServer, "cut to the server"},
                     Row{LinkFault::kCutToClient, "cut to the client"},
-                    Row{LinkFault::kReset, "reset"}};
+                    Row{LinkFault::kReset, "reset"},
+                    Row{LinkFault::kBreaksOffUploads, "breaks off uploads"}};
 }
 
 /**
@@ -48,6 +52,9 @@
  public:
   /** By how much a delayed link delays each direction. */
   static constexpr Duration kDelay = Milliseconds(120);
+  /** Size from which a body counts as an upload; more than the kernel holds for
+   * one connection, so that it is still being written when it is answered. */
+  static constexpr std::size_t kUploadBytes = 8U << 20U;
 
   /** `listen` is where clients connect. */
   LinkProxy(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint listen);
--- a/src/platform/stand_in/link_proxy_test.cc
+++ b/src/platform/stand_in/link_proxy_test.cc
@@ -2,10 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "emulator/http_server.h"
 #include "emulator/steady_clock.h"
@@ -13,6 +15,7 @@
 #include "platform/stand_in/soak_run.h"
 #include "runtime/http_connection.h"
 #include "runtime/io_thread.h"
+#include "runtime/stalled_server.h"
 
 namespace kumquatcove::stand_in {
 namespace {
@@ -26,7 +29,9 @@
 /** A server behind a proxy, and a client that asks one thing at a time. */
 class ProxyBench {
  public:
-  ProxyBench()
+  /** Without a port, the proxy passes everything on to a server that answers
+   * each request. */
+  explicit ProxyBench(std::uint16_t port = 0)
       : m_server(m_io.Context(),
                  AnyPort(),
                  [](const std::shared_ptr<emulator::HttpSession>& session) {
@@ -34,9 +39,9 @@
                  }),
         m_proxy(m_io.Context(), AnyPort()) {
     m_io.Start();
-    Run([this] {
+    Run([this, port] {
       m_server.Open();
-      m_proxy.Open({AnyPort().address(), m_server.Port()});
+      m_proxy.Open({AnyPort().address(), port == 0 ? m_server.Port() : port});
     });
     Connect();
   }
@@ -72,25 +77,31 @@
     return opened.get_future().get();
   }
 
-  /** Returns whether a request on the present connection is answered, and how
-   * long that took. */
-  std::pair<bool, Duration> Ask() {
-    const MonotonicTime begin = emulator::ReadMonotonicClock();
-    std::promise<bool> answered;
-    m_io.Post([&] {
+  /** Sends a request on the present connection; returns whether it is answered.
+   */
+  std::future<bool> Send(std::size_t body_bytes) {
+    const auto answered = std::make_shared<std::promise<bool>>();
+    m_io.Post([this, body_bytes, answered] {
       if (!m_connection->IsIdle()) {
-        answered.set_value(false);
+        answered->set_value(false);
         return;
       }
       HttpRequest request;
-      request.method = "GET";
+      request.method = body_bytes > 0 ? "POST" : "GET";
       request.target = "/";
+      request.body = std::string(body_bytes, 'b');
       m_connection->Send(request, "x", kPatience, nullptr,
-                         [&answered](const std::optional<HttpResult>& result) {
-                           answered.set_value(result.has_value());
+                         [answered](const std::optional<HttpResult>& result) {
+                           answered->set_value(result.has_value());
                          });
     });
-    const bool success = answered.get_future().get();
+    return answered->get_future();
+  }
+
+  /** Returns whether a request is answered, and how long that took. */
+  std::pair<bool, Duration> Ask(std::size_t body_bytes = 0) {
+    const MonotonicTime begin = emulator::ReadMonotonicClock();
+    const bool success = Send(body_bytes).get();
     return {success, emulator::ReadMonotonicClock() - begin};
   }
 
@@ -154,6 +165,30 @@
   CHECK(bench.Ask().first);
 }
 
+TEST_CASE("A link that breaks off uploads passes other requests on") {
+  ProxyBench bench;
+  bench.SetFault(LinkFault::kBreaksOffUploads);
+  CHECK(bench.Ask().first);
+  CHECK(bench.Ask(1000).first);
+  CHECK_FALSE(bench.Ask(LinkProxy::kUploadBytes).first);
+  REQUIRE(bench.Connect());
+  CHECK(bench.Ask().first);
+}
+
+// Guards against a soak in which no upstream seems to break an answer off.
+TEST_CASE("A reset by the server reaches the client as a reset") {
+  for (int i = 0; i < 20; ++i) {
+    StalledServer server;
+    ProxyBench bench(server.Port());
+    server.Accept();
+    std::future<bool> answered = bench.Send(LinkProxy::kUploadBytes);
+    server.Write("HTTP/1.1 200 OK\r\n\r\npart");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    server.Reset();
+    CHECK_FALSE(answered.get());
+  }
+}
+
 TEST_CASE("A soak's script names its faults") {
   const auto script =
       ParseSoakScript("store silent, instance killed + upstream link cut");
--- a/src/platform/stand_in/soak_route.h
+++ b/src/platform/stand_in/soak_route.h
@@ -27,9 +27,12 @@
 /** Target of requests with large answers. */
 inline constexpr std::string_view kLargeAnswers = "/bulk/";
 
+/** Target of uploads. */
+inline constexpr std::string_view kUploads = "/order/";
+
 inline constexpr std::array kSoakRoutes{
     SoakRoute{"/browse/", "browse", true, Seconds(1), Milliseconds(1'500), 0.3},
-    SoakRoute{"/order/", "order", false, Seconds(1), Milliseconds(1'500), 0.25},
+    SoakRoute{kUploads, "order", false, Seconds(1), Milliseconds(1'500), 0.25},
     SoakRoute{kLargeAnswers, "browse", true, Seconds(5), Seconds(5), 0.1},
     SoakRoute{kLongWork, "freight", false, Seconds(5), Seconds(5), 0.15},
     SoakRoute{"/freight/", "freight", false, Seconds(5), Seconds(5), 0.2}};
--- a/src/platform/stand_in/soak_run.cc
+++ b/src/platform/stand_in/soak_run.cc
@@ -56,6 +56,9 @@
 // otherwise.
 constexpr double kRateLimit = 1;
 
+// Share of requests that are uploads while these are broken off.
+constexpr double kUploadShare = 0.1;
+
 constexpr std::size_t kFreightSlots = 40;
 constexpr Duration kFreightWork = Seconds(1);
 
@@ -170,7 +173,7 @@
       {"services", json::array{ServiceJson("browse"), ServiceJson("order"),
                                ServiceJson("freight")}},
       {"limits", json::object{{"max-header-bytes", 16'384},
-                              {"max-body-bytes", 1'048'576},
+                              {"max-body-bytes", LinkProxy::kUploadBytes},
                               {"header-timeout-s", 5},
                               {"idle-timeout-s", 10}}}};
   m_store->Put("op", "config", json::serialize(configuration));
@@ -322,6 +325,8 @@
       return BeginUpstreamLinkFault(LinkFault::kReset);
     case SoakFault::kStoreRestored:
       return BeginStoreRestore();
+    case SoakFault::kUploadsBrokenOff:
+      return BeginBrokenUploads();
     case SoakFault::kUpstreamRateLimited: {
       UpstreamStandIn* upstream = TakeUpstream();
       if (upstream == nullptr) {
@@ -442,6 +447,27 @@
   };
 }
 
+std::function<void()> SoakRun::BeginBrokenUploads() {
+  const std::string service(FindSoakRoute(kUploads)->service);
+  std::vector<UpstreamStandIn*> taken;
+  for (const std::unique_ptr<UpstreamStandIn>& upstream : m_upstreams) {
+    if (upstream->Settings().service == service &&
+        m_upstreams_in_use.insert(upstream.get()).second) {
+      taken.push_back(upstream.get());
+    }
+  }
+  const auto set = [this, taken](LinkFault fault, double upload_share) {
+    OnIoThread([&] {
+      for (UpstreamStandIn* upstream : taken) {
+        upstream->Link().SetFault(fault);
+      }
+      m_callers->SetUploadShare(upload_share);
+    });
+  };
+  set(LinkFault::kBreaksOffUploads, kUploadShare);
+  return [set] { set(LinkFault::kNone, 0); };
+}
+
 void SoakRun::PlayWork(SoakWork work) {
   LogInfo(LogLine("soak_work").Add("kind", ToString(work)));
   switch (work) {
--- a/src/platform/stand_in/soak_run.h
+++ b/src/platform/stand_in/soak_run.h
@@ -49,6 +49,7 @@
   kUpstreamLinkReset,
   kUpstreamRateLimited,
   kStoreRestored,
+  kUploadsBrokenOff,
 };
 
 constexpr auto EnumNames(SoakFault) {
@@ -75,7 +76,8 @@
       Row{SoakFault::kUpstreamLinkDelayed, "upstream link delayed"},
       Row{SoakFault::kUpstreamLinkReset, "upstream link reset"},
       Row{SoakFault::kUpstreamRateLimited, "upstream rate limited"},
-      Row{SoakFault::kStoreRestored, "store restored"}};
+      Row{SoakFault::kStoreRestored, "store restored"},
+      Row{SoakFault::kUploadsBrokenOff, "uploads broken off"}};
 }
 
 /** Planned work of a soak. */
@@ -173,6 +175,9 @@
   std::function<void()> BeginStoreLinkFault(LinkFault fault);
   std::function<void()> BeginUpstreamFault(SoakFault fault);
   std::function<void()> BeginUpstreamLinkFault(LinkFault fault);
+  /** Callers send uploads, and the upstreams of their service answer them in
+   * part and reset the connection. */
+  std::function<void()> BeginBrokenUploads();
   /** Returns an instance without a fault, or null; it has one from now on. */
   std::pair<const std::string, SoakInstance>* TakeInstance();
   /** The same for an upstream. */
--- a/src/runtime/stalled_server.h
+++ b/src/runtime/stalled_server.h
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -44,9 +45,8 @@
     m_acceptor.listen();
   }
 
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-  }
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(Port()); }
 
   /** Waits for the connection. */
   void Accept() { m_acceptor.accept(m_socket); }
