Tests of stalled upstreams share a fixture

The new test of an early answer repeated the setup of the one of a connection that has become readable.

--- a/src/platform/stand_in/caller_stand_in.h
+++ b/src/platform/stand_in/caller_stand_in.h
@@ -46,8 +46,7 @@
   void Start();
   /** Sends nothing new; what is under way goes on. */
   void Stop() { m_stopped = true; }
-  /** Sets the share of requests that are uploads, which no upstream reads at
-   * once. */
+  /** Sets the share of requests that are uploads of LinkProxy::kUploadBytes. */
   void SetUploadShare(double share) { m_upload_share = share; }
   /** Returns the number of requests under way. */
   std::size_t Pending() const { return m_calls.size(); }
--- a/src/runtime/upstream_client_test.cc
+++ b/src/runtime/upstream_client_test.cc
@@ -1,6 +1,7 @@
 #include "runtime/upstream_client.h"
 
 #include <array>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <thread>
@@ -54,6 +55,38 @@
   UpstreamClient client;
 };
 
+/** An upstream client connected to an upstream that doesn't read. */
+struct StalledUpstreamFixture {
+  StalledUpstreamFixture()
+      : client(io, events, delays, MakeNativeDialect().upstreams) {
+    io.Start();
+    io.Post([this] {
+      client.Open({kConnection, UpstreamId("u"), upstream.Address()});
+    });
+    REQUIRE(events.Get<ConnectionOpened>(0).has_value());
+    upstream.Accept();
+  }
+  ~StalledUpstreamFixture() { io.Stop(); }
+  StalledUpstreamFixture(const StalledUpstreamFixture&) = delete;
+  StalledUpstreamFixture& operator=(const StalledUpstreamFixture&) = delete;
+
+  static SendUpstream MakePost(std::size_t body_bytes) {
+    SendUpstream effect;
+    effect.connection = kConnection;
+    effect.send_before = ReadSystemClock().monotonic + Seconds(60);
+    effect.http.method = "POST";
+    effect.http.target = "/";
+    effect.http.body = std::string(body_bytes, 'b');
+    return effect;
+  }
+
+  StalledServer upstream;
+  IoThread io;
+  RecordingEvents events;
+  LinkDelays delays{ZoneName("a"), std::nullopt};
+  UpstreamClient client;
+};
+
 std::optional<HttpAnswer> AnswerOk(const HttpRequest&) {
   return HttpAnswer{200, {{"X-A", "1"}}, "done"};
 }
@@ -259,35 +292,19 @@
 // Guards against a part of an answer that is passed on as a whole one, and
 // against a repeat of a request that the upstream may have run.
 TEST_CASE("A request whose early answer is reset may have run") {
-  StalledServer upstream;
-  RecordingEvents events;
-  const LinkDelays delays{ZoneName("a"), std::nullopt};
-  IoThread io;
-  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
-  io.Start();
-  io.Post([&] {
-    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
-  });
-  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
-  upstream.Accept();
-  SendUpstream effect;
-  effect.connection = kConnection;
-  effect.send_before = ReadSystemClock().monotonic + Seconds(60);
-  effect.http.method = "POST";
-  effect.http.target = "/";
   // More than the kernel takes for one connection.
-  effect.http.body = std::string(32U << 20U, 'b');
+  constexpr std::size_t kLargeBytes = 32U << 20U;
+  StalledUpstreamFixture fixture;
   std::promise<void> sent;
-  io.Post([&] {
-    client.Send(effect);
+  fixture.io.Post([&] {
+    fixture.client.Send(StalledUpstreamFixture::MakePost(kLargeBytes));
     sent.set_value();
   });
   sent.get_future().wait();
-  upstream.Write("HTTP/1.1 200 OK\r\n\r\npart");
+  fixture.upstream.Write("HTTP/1.1 200 OK\r\n\r\npart");
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  upstream.Reset();
-  const auto lost = events.Get<ConnectionLost>(1);
-  io.Stop();
+  fixture.upstream.Reset();
+  const auto lost = fixture.events.Get<ConnectionLost>(1);
   REQUIRE(lost.has_value());
   CHECK_FALSE(lost->unwritten);
 }
@@ -296,40 +313,24 @@
 // closed the connection, whose callers can't be told that they have not run,
 // and against an unsolicited answer that is taken for the next one (MIXED).
 TEST_CASE("A request isn't written if its connection has become readable") {
-  StalledServer upstream;
-  RecordingEvents events;
-  const LinkDelays delays{ZoneName("a"), std::nullopt};
-  IoThread io;
-  UpstreamClient client(io, events, delays, MakeNativeDialect().upstreams);
-  io.Start();
-  io.Post([&] {
-    client.Open({kConnection, UpstreamId("u"), upstream.Address()});
-  });
-  REQUIRE(events.Get<ConnectionOpened>(0).has_value());
-  upstream.Accept();
-  SendUpstream effect;
-  effect.connection = kConnection;
-  effect.send_before = ReadSystemClock().monotonic + Seconds(60);
-  effect.http.method = "POST";
-  effect.http.target = "/";
+  StalledUpstreamFixture fixture;
   // The send is executed before the IoThread notices the change.
   std::promise<void> busy;
   std::promise<void> changed;
-  io.Post([&] {
+  fixture.io.Post([&] {
     busy.set_value();
     changed.get_future().wait();
-    client.Send(effect);
+    fixture.client.Send(StalledUpstreamFixture::MakePost(0));
   });
   busy.get_future().wait();
   SUBCASE("the upstream has closed it") {
-    upstream.Close();
+    fixture.upstream.Close();
   }
   SUBCASE("the upstream has sent an answer") {
-    upstream.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    fixture.upstream.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   }
   changed.set_value();
-  const auto lost = events.Get<ConnectionLost>(1);
-  io.Stop();
+  const auto lost = fixture.events.Get<ConnectionLost>(1);
   REQUIRE(lost.has_value());
   CHECK(lost->unwritten);
 }
