--- a/src/runtime/http_connection_test.cc
+++ b/src/runtime/http_connection_test.cc
@@ -106,13 +106,17 @@
 /** How a server ends a connection. */
 using EndConnection = std::function<void(StalledServer&)>;
 
-const EndConnection kReset = [](StalledServer& server) { server.Reset(); };
-const EndConnection kCloseUnread = [](StalledServer& server) {
+void ResetConnection(StalledServer& server) {
+  server.Reset();
+}
+
+void CloseUnread(StalledServer& server) {
   server.Close();
-};
-const EndConnection kEndStream = [](StalledServer& server) {
+}
+
+void EndStream(StalledServer& server) {
   server.EndStream();
-};
+}
 
 /** Returns what a client gets from a server that answers a request of
  * `body_bytes` by `answer` without reading it, and then ends the connection. */
@@ -178,7 +182,7 @@
       CAPTURE(body_bytes);
       CAPTURE(pause.count());
       for (int i = 0; i < kRepetitions; ++i) {
-        for (const auto& end : {kReset, kCloseUnread}) {
+        for (const auto& end : {ResetConnection, CloseUnread}) {
           CHECK_FALSE(GetEarlyAnswer(body_bytes, kPartUntilClose, pause, end)
                           .has_value());
         }
@@ -205,7 +209,7 @@
           REQUIRE(answer.has_value());
           CHECK(answer->answer.body == "part");
         }
-        REQUIRE(GetEarlyAnswer(body_bytes, kPartUntilClose, pause, kEndStream)
+        REQUIRE(GetEarlyAnswer(body_bytes, kPartUntilClose, pause, EndStream)
                     .has_value());
       }
     }
@@ -221,12 +225,14 @@
     CAPTURE(pause.count());
     for (const std::string& whole :
          {with_length + "part", chunked + "0\r\n\r\n"}) {
-      const auto answer = GetEarlyAnswer(kLargeBytes, whole, pause, kReset);
+      const auto answer =
+          GetEarlyAnswer(kLargeBytes, whole, pause, ResetConnection);
       REQUIRE(answer.has_value());
       CHECK(answer->answer.body == "part");
     }
     for (const std::string& part : {with_length + "par", chunked}) {
-      CHECK_FALSE(GetEarlyAnswer(kLargeBytes, part, pause, kReset).has_value());
+      CHECK_FALSE(GetEarlyAnswer(kLargeBytes, part, pause, ResetConnection)
+                      .has_value());
     }
   }
 }
--- a/src/runtime/invalid_answer_test.cc
+++ b/src/runtime/invalid_answer_test.cc
@@ -5,6 +5,8 @@
 #include <variant>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
+
 #include "runtime/invalid_answers.h"
 #include "runtime/metrics.h"
 #include "runtime/one_answer_server.h"
@@ -122,10 +124,11 @@
 }
 
 TEST_CASE("A valid answer is read by each of them") {
-  const std::string interim = "HTTP/1.1 103 Hints\r\nA: 1\r\n\r\n";
-  for (const std::string status : {"200", "299", "404", "500", "599"}) {
+  constexpr const char* kInterim = "HTTP/1.1 103 Hints\r\nA: 1\r\n\r\n";
+  for (const char* status : {"200", "299", "404", "500", "599"}) {
     const OneAnswerServer upstream(
-        interim + "HTTP/1.1 " + status + " \r\nA!#$: 1\r\n" + kEndOfOneByte,
+        absl::StrCat(kInterim, "HTTP/1.1 ", status, " \r\nA!#$: 1\r\n",
+                     kEndOfOneByte),
         AnswerPace::kByteByByte);
     const Event event = SendToUpstream("GET", upstream.Address());
     const auto* answered = std::get_if<UpstreamAnswered>(&event);
@@ -133,9 +136,11 @@
     CHECK(std::to_string(answered->answer.status) == status);
     CHECK(answered->answer.body == "x");
   }
-  const OneAnswerServer upstream(interim + kOkStatusLine + kEndOfOneByte);
+  const std::string valid =
+      absl::StrCat(kInterim, kOkStatusLine, kEndOfOneByte);
+  const OneAnswerServer upstream(valid);
   CHECK(IsHealthy(upstream.Address()));
-  const OneAnswerServer store(interim + kOkStatusLine + kEndOfOneByte);
+  const OneAnswerServer store(valid);
   CHECK(CallStoreAt(store.Address()) == StoreStatus::kOk);
 }
 
--- a/src/runtime/invalid_answers.h
+++ b/src/runtime/invalid_answers.h
@@ -4,21 +4,24 @@
 #include <string>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
+
 namespace kumquatcove {
 
-inline const std::string kOkStatusLine = "HTTP/1.1 200 OK\r\n";
+inline constexpr const char* kOkStatusLine = "HTTP/1.1 200 OK\r\n";
 /** End of a head, and its body. */
-inline const std::string kEndOfOneByte = "Content-Length: 1\r\n\r\nx";
+inline constexpr const char* kEndOfOneByte = "Content-Length: 1\r\n\r\nx";
 
 /** Returns answers whose status line is invalid. */
 inline std::vector<std::string> MakeInvalidStatusLines() {
   std::vector<std::string> answers;
-  for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
-    for (const std::string status :
+  for (const char* version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
+    for (const char* status :
          {"000", "001", "099", "0", "00", "20", "600", "999", "2000", "-20",
           "+20", "2 0", "20x", "0x1", ""}) {
-      answers.push_back(version + status + " Odd\r\n" + kEndOfOneByte);
-      answers.push_back(version + status + " Odd\r\n\r\nx");
+      for (const char* rest : {kEndOfOneByte, "\r\nx"}) {
+        answers.push_back(absl::StrCat(version, status, " Odd\r\n", rest));
+      }
     }
   }
   return answers;
@@ -38,12 +41,14 @@
 inline std::vector<std::string> MakeInvalidHeads() {
   std::vector<std::string> answers = MakeInvalidStatusLines();
   for (const std::string& header : MakeInvalidHeaders()) {
-    answers.push_back(kOkStatusLine + header + kEndOfOneByte);
-    answers.push_back(kOkStatusLine + "A: 1\r\n" + header + kEndOfOneByte);
-    answers.push_back("HTTP/1.0 200 OK\r\n" + header + kEndOfOneByte);
-    answers.push_back(kOkStatusLine + header + "\r\nx");
-    answers.push_back("HTTP/1.1 103 Hints\r\n" + header + "\r\n" +
-                      kOkStatusLine + kEndOfOneByte);
+    answers.push_back(absl::StrCat(kOkStatusLine, header, kEndOfOneByte));
+    answers.push_back(
+        absl::StrCat(kOkStatusLine, "A: 1\r\n", header, kEndOfOneByte));
+    answers.push_back(
+        absl::StrCat("HTTP/1.0 200 OK\r\n", header, kEndOfOneByte));
+    answers.push_back(absl::StrCat(kOkStatusLine, header, "\r\nx"));
+    answers.push_back(absl::StrCat("HTTP/1.1 103 Hints\r\n", header, "\r\n",
+                                   kOkStatusLine, kEndOfOneByte));
   }
   return answers;
 }
@@ -51,9 +56,9 @@
 inline std::vector<std::string> MakeInvalidAnswers() {
   std::vector<std::string> answers = MakeInvalidHeads();
   for (const std::string& header : MakeInvalidHeaders()) {
-    answers.push_back(kOkStatusLine +
-                      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" +
-                      header + "\r\n");
+    answers.push_back(absl::StrCat(
+        kOkStatusLine, "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        header, "\r\n"));
   }
   return answers;
 }
--- a/src/tools/answer_reader_test.cc
+++ b/src/tools/answer_reader_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <variant>
 
+#include <absl/strings/str_cat.h>
 #include <boost/asio/io_context.hpp>
 
 #include "runtime/invalid_answers.h"
@@ -81,8 +82,9 @@
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
       "1\r\nx\r\n0\r\nT: 1\r\n\r\n";
-  for (const std::string& bytes : {kOkStatusLine + "A: 1\r\n" + kEndOfOneByte,
-                                   chunked, kOkStatusLine + "A: 1\r\n\r\nx"}) {
+  for (const std::string& bytes :
+       {absl::StrCat(kOkStatusLine, "A: 1\r\n", kEndOfOneByte), chunked,
+        absl::StrCat(kOkStatusLine, "A: 1\r\n\r\nx")}) {
     CAPTURE(bytes);
     const OneAnswerServer first(bytes, AnswerPace::kByteByByte);
     const OneAnswerServer second(bytes, AnswerPace::kByteByByte);
