--- a/review/stand_in_3/harness.py
+++ b/review/stand_in_3/harness.py
@@ -462,6 +462,8 @@
 
     def main(self):
         status = CANNOT_RUN
+        # Ends the instances as well.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
         try:
             if not self.program.exists():
                 raise CannotRun(f"{self.program.relative_to(ROOT)} is missing: run the build of the deploy file")
