Review case 11: a third machine that both others know, ports below the kernel's range

Cause: with two machines the case was smaller than any deployment; a port of the stand-ins was taken by somebody else once in 1,302 starts. Change: three machines and eight targets; ports are taken below the range of connections that are opened, and an instance that ends at its start makes the case exit with 2.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,7 +11,7 @@
 
 HOST_NAME = "jepu9.example"
 RATE = 20.0  # requests a second that each target in need takes from all machines
-TARGETS = 4
+TARGETS = 8
 CLIENTS_PER_INSTANCE = 40
 LOAD_S = 14.0
 WINDOW_S = 4.0
@@ -41,8 +41,11 @@
             [route("r-1", HOST_NAME, "/levo940/", "safe", "dele69a", timeout_s=1.5)], ["dele69a"]))
         old = self.add_instance("front-suva-a-1", "suva-a")
         new = self.add_instance("front-suva-a-2", "suva-a")
-        await old.start()
-        await old.wait_ready()
+        third = self.add_instance("front-nadi-b-1", "nadi-b")
+        for instance in (old, third):
+            await instance.start()
+        for instance in (old, third):
+            await instance.wait_ready()
         await asyncio.sleep(1)
         if trouble():
             lost = []
@@ -62,11 +65,11 @@
         await asyncio.sleep(max(0, stopped_at + LATE_S + 0.5 - time.monotonic()))
         await new.start()
         await new.wait_ready()
-        # Both have been in touch for contact-s, and old enough for any duty, before clients come.
+        # All have been in touch for contact-s, and old enough for any duty, before clients come.
         await asyncio.sleep(BOUNDS["contact-s"] + 2)
         answers = collections.Counter()
-        await asyncio.gather(*(self.client(f"{instance.name[-1]}{n}", instance.front, answers)
-                               for instance in (old, new) for n in range(CLIENTS_PER_INSTANCE)))
+        await asyncio.gather(*(self.client(f"{instance.name[6:]}-{n}", instance.front, answers)
+                               for instance in (old, new, third) for n in range(CLIENTS_PER_INSTANCE)))
         self.record(f"answers {dict(answers)}", True)
         return all([self.judge(target) for target in targets])
 
--- a/review/stand_in_3/harness.py
+++ b/review/stand_in_3/harness.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -31,10 +32,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+PORTS = random.sample(range(20000, 32000), 2000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port that nobody uses, below those that the kernel gives to connections that are opened."""
+    while PORTS:
+        port = PORTS.pop()
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+                return port
+            except OSError:
+                continue
+    raise CannotRun("no free port")
 
 
 class Record:
@@ -353,6 +364,9 @@
             if await self.is_ready():
                 self._record(f"{self.name} is ready", True)
                 return
+            if self.process.returncode is not None:
+                raise CannotRun(f"{self.name} ended with status {self.process.returncode}: "
+                                f"{self._log.read_text(errors='replace').splitlines()[-1:]}")
             await asyncio.sleep(0.1)
         raise CannotRun(f"{self.name} isn't ready after {timeout} s")
 
