--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,105 +1,105 @@
-"""Case 11: additional bytes of a faulty target are taken for the promise that the next request has not run."""
+"""Case 11: a late removal of its own row hides a running instance, and two instances issue the permits of a target."""
 import asyncio
+import bisect
 import collections
-import random
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_in_3"))
-from harness import Case, Connection, Target, configuration, read_message, route, trouble  # noqa: E402
+from harness import BOUNDS, Case, Connection, Target, configuration, route, trouble  # noqa: E402
 
-HOST_NAME = "lopu12.example"
-FAULT_S = 5.0  # garble, extra late: share 0.6, x 0.03, 5 s
-FAULTY_SHARE = 0.6
-EXTRA_SHARE = 0.03
-TARGETS = 5
-CLIENTS = 16
-LOAD_S = 7.0
-# The answer of a server that sheds, as `fleetbench wire` prints it.
-SHED = b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+HOST_NAME = "jepu9.example"
+RATE = 20.0  # requests a second that each target in need takes from all machines
+TARGETS = 4
+CLIENTS_PER_INSTANCE = 40
+LOAD_S = 14.0
+WINDOW_S = 4.0
+LATE_S = 6.0  # platform_lost, late: done 1 to 6 s later
 
 
-class FaultyTarget(Target):
-    """Sends additional bytes after x of its complete answers, late: where the next answer is expected."""
+class LimitedTarget(Target):
+    """A target in need: names Server-Limit in its answers, from the first on."""
 
-    is_faulty = False
-    fault_until = 0.0
-    extras = 0
-    random = random.Random(11)
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.named_at = None
 
-    async def connection(self, reader, writer):
-        owes_extra = False
-        while True:
-            request = await read_message(reader)
-            if request is None:
-                return
-            if owes_extra:
-                FaultyTarget.extras += 1
-                self.record(f"{self.identity} sends additional bytes before its answer to "
-                            f"{request.header('attempt-id')}")
-                writer.write(SHED)
-            writer.write(await self.respond(request))
-            await writer.drain()
-            owes_extra = (self.is_faulty and time.monotonic() < self.fault_until
-                          and self.random.random() < EXTRA_SHARE)
+    def extra_headers(self):
+        if self.named_at is None:
+            self.named_at = time.monotonic()
+        return [("Server-Limit", str(RATE))]
 
 
-class StrayRefusal(Case):
+class TwoIssuers(Case):
     async def play(self):
-        targets = [FaultyTarget(self.store, self.record, f"i-{n}", "gowu98c", "suva-a", slots=4, work_s=0.1)
+        targets = [LimitedTarget(self.store, self.record, f"i-{n}", "dele69a", "suva-a", slots=6, work_s=0.02)
                    for n in range(TARGETS)]
         for target in targets:
             await target.open()
         self.store.put("op", "config", configuration(
-            [route("r-1", HOST_NAME, "/hucu512/", "unsafe", "gowu98c", timeout_s=1.2)], ["gowu98c"]))
-        instances = [self.add_instance(f"front-suva-a-{n}", "suva-a") for n in (1, 2)]
-        for instance in instances:
-            await instance.start()
-        for instance in instances:
-            await instance.wait_ready()
+            [route("r-1", HOST_NAME, "/levo940/", "safe", "dele69a", timeout_s=1.5)], ["dele69a"]))
+        old = self.add_instance("front-suva-a-1", "suva-a")
+        new = self.add_instance("front-suva-a-2", "suva-a")
+        await old.start()
+        await old.wait_ready()
         await asyncio.sleep(1)
         if trouble():
-            for target in targets[:int(TARGETS * FAULTY_SHARE)]:
-                target.is_faulty = True
-                target.fault_until = time.monotonic() + FAULT_S
-        answers = {}
-        await asyncio.gather(*(self.client(n, instances[n % 2].front, answers) for n in range(CLIENTS)))
-        return self.judge(targets, answers)
+            lost = []
 
-    async def client(self, number, address, answers):
+            def late(call):
+                # One write that is done and not answered, LATE_S later.
+                if call["delete-keys"] and not lost:
+                    lost.append(call)
+                    self.record(f"store: loses the answer to the removal of {old.name}", True)
+                    return LATE_S
+                return None
+            self.store.late = late
+        stopped_at = time.monotonic()
+        await old.stop()
+        await old.start()
+        await old.wait_ready()
+        await asyncio.sleep(max(0, stopped_at + LATE_S + 0.5 - time.monotonic()))
+        await new.start()
+        await new.wait_ready()
+        # Both have been in touch for contact-s, and old enough for any duty, before clients come.
+        await asyncio.sleep(BOUNDS["contact-s"] + 2)
+        answers = collections.Counter()
+        await asyncio.gather(*(self.client(f"{instance.name[-1]}{n}", instance.front, answers)
+                               for instance in (old, new) for n in range(CLIENTS_PER_INSTANCE)))
+        self.record(f"answers {dict(answers)}", True)
+        return all([self.judge(target) for target in targets])
+
+    async def client(self, name, address, answers):
         connection = await Connection.open(address)
         end = time.monotonic() + LOAD_S
         count = 0
         while time.monotonic() < end:
-            attempt = f"a{number:02d}x{count:05d}"
+            attempt = f"{name}x{count}"
             count += 1
-            self.record(f"client {number} sends {attempt}")
+            self.record(f"client {name} sends {attempt}")
             answer = await connection.ask(
-                "PUT", f"/hucu512/{number % 24}",
-                [("Host", HOST_NAME), ("Attempt-Id", attempt), ("Cookie", f"Affinity-Key={count % 24}"),
-                 ("Deadline-Ms", "1200")], b"charge 20 " + attempt.encode())
-            answers[attempt] = None if answer is None else answer.status
-            self.record(f"client {number} gets {answers[attempt]} for {attempt}")
+                "GET", f"/levo940/{count % 84}",
+                [("Host", HOST_NAME), ("Attempt-Id", attempt), ("Cookie", f"Affinity-Key={count % 84}"),
+                 ("Deadline-Ms", "2000")])
+            status = None if answer is None else answer.status
+            answers[status] += 1
+            self.record(f"client {name} gets {status} for {attempt}")
             if answer is None or answer.header("connection") == "close":
                 connection.close()
                 connection = await Connection.open(address)
-            if answers[attempt] != 200:
-                await asyncio.sleep(0.05)
+            if status != 200:
+                await asyncio.sleep(min(0.3, float(answer.header("retry-after", "0.1"))) if answer else 0.1)
         connection.close()
 
-    def judge(self, targets, answers):
-        runs = collections.Counter(attempt for target in targets for attempt in target.runs)
-        twice = sorted(attempt for attempt, count in runs.items() if count > 1)
-        refused = sorted(attempt for attempt, status in answers.items() if status in (408, 421, 429, 503)
-                         and runs[attempt] > 0)
-        unasked = sorted(attempt for attempt in runs if attempt not in answers)
-        self.record(f"{len(answers)} requests, answers {dict(collections.Counter(answers.values()))}, "
-                    f"{FaultyTarget.extras} times additional bytes", True)
-        self.record(f"TWICE: {len(twice)} non-idempotent requests ran more than once: {twice[:5]}", True)
-        self.record(f"REFUSED: {len(refused)} were answered with a promise and ran: {refused[:5]}", True)
-        self.record(f"UNASKED: {len(unasked)} ran that nobody sent", True)
-        return not twice and not refused and not unasked
+    def judge(self, target):
+        """LIMIT: from contact-s after the target first named its limit, in some 4 s more than 1.5 times that, + 5."""
+        begin = target.named_at + BOUNDS["contact-s"]
+        arrivals = [at for at, _ in target.arrivals if at >= begin]
+        most = max((bisect.bisect_right(arrivals, at + WINDOW_S) - n for n, at in enumerate(arrivals)), default=0)
+        bound = 1.5 * RATE * WINDOW_S + 5
+        self.record(f"LIMIT: {target.identity} gets {most} requests in some {WINDOW_S} s, {bound} allowed", True)
+        return most <= bound
 
 
-StrayRefusal(Path(__file__).parent).main()
+TwoIssuers(Path(__file__).parent).main()
